--- a/cmd/pimentohinge/demo.go
+++ b/cmd/pimentohinge/demo.go
@@ -13,8 +13,8 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/rotisserie/eris"
 
-	"github.com/pimentohinge/pimentohinge/internal/demo"
 	"github.com/pimentohinge/pimentohinge/internal/logline"
+	"github.com/pimentohinge/pimentohinge/internal/standin/fleet"
 	"github.com/pimentohinge/pimentohinge/internal/standin/llm"
 	"github.com/pimentohinge/pimentohinge/pkg/client"
 )
@@ -35,7 +35,7 @@
 }
 
 type demoRun struct {
-	fleet *demo.Fleet
+	fleet *fleet.Fleet
 	slow  string // request id of the slow request
 }
 
@@ -48,7 +48,13 @@
 	ctx, cancel := context.WithTimeout(context.Background(), demoTimeout)
 	defer cancel()
 	started := time.Now()
-	f, err := demo.Start(logger)
+	f, err := fleet.Start(fleet.Options{
+		Hosts: fleet.Loopback{}, Log: logger,
+		DataCentres: []fleet.DataCentre{
+			{Name: "walsall-a-1", Region: "walsall-a", VMs: 2, Engines: 2, Ledgers: 1},
+			{Name: "walsall-a-2", Region: "walsall-a", VMs: 2, Engines: 1},
+		},
+	})
 	if err != nil {
 		return err
 	}
@@ -86,7 +92,7 @@
 }
 
 func (d *demoRun) release(ctx context.Context) error {
-	note := demo.Note()
+	note := d.fleet.Note()
 	r := d.fleet.VMs[0].Release(ctx, note)
 	if r.Status != "accepted" {
 		return fmt.Errorf("release note was not accepted: %s %v", r.Status, r.Reasons)
@@ -137,7 +143,7 @@
 	var text strings.Builder
 	seen := 0
 	r, err := c.Stream(ctx, client.Completion{
-		Model: demo.ServiceReports, Prompt: "Draft a defect report for ladder HC-1042, length=200", MaxTokens: 500,
+		Model: fleet.ServiceReports, Prompt: "Draft a defect report for ladder HC-1042, length=200", MaxTokens: 500,
 	}, func(t client.Token) error {
 		if t.Index != seen {
 			return fmt.Errorf("token %d came in place of %d", t.Index, seen)
@@ -170,9 +176,9 @@
 }
 
 func (d *demoRun) tagTwice(ctx context.Context) error {
-	before := len(d.fleet.Ledger.Runs())
+	before := len(d.fleet.Ledgers[0].Runs())
 	call := client.Call{
-		Service: demo.ServiceTags, Method: http.MethodPost, Path: "/tags", ContentType: "application/json",
+		Service: fleet.ServiceTags, Method: http.MethodPost, Path: "/tags", ContentType: "application/json",
 		Body: []byte(`{"tag":"HC-1042","state":"issued"}`), Key: "van-7-0001",
 	}
 	first, err := d.fleet.Client(0).Do(ctx, call)
@@ -183,7 +189,7 @@
 	if err != nil {
 		return err
 	}
-	runs := len(d.fleet.Ledger.Runs()) - before
+	runs := len(d.fleet.Ledgers[0].Runs()) - before
 	if runs != 1 || !second.Replayed || string(first.Body) != string(second.Body) {
 		return fmt.Errorf("the ledger ran the call %d times; second answer replayed: %v", runs, second.Replayed)
 	}
@@ -198,9 +204,9 @@
 	}
 	d.fleet.SetOutage(true)
 	defer d.fleet.SetOutage(false)
-	before := len(d.fleet.Ledger.Runs())
+	before := len(d.fleet.Ledgers[0].Runs())
 	call := client.Call{
-		Service: demo.ServiceTags, Method: http.MethodPost, Path: "/tags", ContentType: "application/json",
+		Service: fleet.ServiceTags, Method: http.MethodPost, Path: "/tags", ContentType: "application/json",
 		Body: []byte(`{"tag":"HC-1043","state":"issued"}`), Ticket: t,
 	}
 	for _, i := range []int{1, 0} {
@@ -208,7 +214,7 @@
 			return err
 		}
 	}
-	if runs := len(d.fleet.Ledger.Runs()) - before; runs != 1 {
+	if runs := len(d.fleet.Ledgers[0].Runs()) - before; runs != 1 {
 		return fmt.Errorf("the ledger ran the call %d times", runs)
 	}
 	say("sent through two VMs while the platform was out, it ran once")
@@ -217,24 +223,26 @@
 
 func (d *demoRun) leaving(ctx context.Context) error {
 	gone := d.fleet.Engines[0]
-	d.fleet.SetLeaving(0)
+	// The platform's list lags and still shows the engine as live.
+	gone.SetFaults(llm.Faults{Leaving: true})
 	at := time.Now()
-	if err := d.fleet.AwaitLeaving(ctx, gone.Name); err != nil {
+	name := gone.Backend.Name
+	if err := fleet.Await(ctx, "the engine is known to leave", func() bool { return d.fleet.Leaves(name) }); err != nil {
 		return err
 	}
-	say("%s is known to leave on all VMs after %d ms", gone.Name, time.Since(at).Milliseconds())
-	before := gone.Engine.Started()
+	say("%s is known to leave on all its data centre's VMs after %d ms", name, time.Since(at).Milliseconds())
+	before := gone.Started()
 	for i := range 6 {
 		if _, err := d.fleet.Client(i%2).Stream(ctx, client.Completion{
-			Model: demo.ServiceReports, Prompt: "Valuation note, length=5",
+			Model: fleet.ServiceReports, Prompt: "Valuation note, length=5",
 		}, func(client.Token) error { return nil }); err != nil {
 			return err
 		}
 	}
 	for _, e := range d.fleet.Engines {
-		say("%s has started %d generations in all", e.Name, e.Engine.Started())
+		say("%s has started %d generations in all", e.Backend.Name, e.Started())
 	}
-	if n := gone.Engine.Started() - before; n != 0 {
+	if n := gone.Started() - before; n != 0 {
 		return fmt.Errorf("the leaving engine got %d new generations", n)
 	}
 	return nil
@@ -245,11 +253,11 @@
 func (d *demoRun) explainSlow(ctx context.Context) error {
 	stalled := false
 	r, err := d.fleet.Client(0).Stream(ctx, client.Completion{
-		Model: demo.ServiceReports, Prompt: "Condition report on a mercury barometer, length=120",
+		Model: fleet.ServiceReports, Prompt: "Condition report on a mercury barometer, length=120",
 	}, func(t client.Token) error {
 		if t.Index == 30 && !stalled {
 			stalled = true
-			d.fleet.StallLinks(3 * time.Second / 2)
+			d.stallLinks(3 * time.Second / 2)
 		}
 		return nil
 	})
@@ -267,18 +275,27 @@
 	return nil
 }
 
+// stallLinks stops the streams of every engine for some time.
+func (d *demoRun) stallLinks(pause time.Duration) {
+	for i, e := range d.fleet.Engines {
+		e.SetFaults(llm.Faults{StallLinks: true, Leaving: i == 0})
+		time.AfterFunc(pause, func() { e.SetFaults(llm.Faults{Leaving: i == 0}) })
+	}
+}
+
 func (d *demoRun) stop(ctx context.Context) error {
 	result := make(chan error, 1)
 	go func() {
 		r, err := d.fleet.Client(0).Stream(ctx, client.Completion{
-			Model: demo.ServiceReports, Prompt: "Last report of the day, length=150",
+			Model: fleet.ServiceReports, Prompt: "Last report of the day, length=150",
 		}, func(client.Token) error { return nil })
 		if err == nil && r.Tokens != 150 {
 			err = fmt.Errorf("the last report has %d tokens", r.Tokens)
 		}
 		result <- err
 	}()
-	if err := d.fleet.AwaitOpen(ctx, 0); err != nil {
+	open := func() bool { return d.fleet.VMs[0].View().Open > 0 }
+	if err := fleet.Await(ctx, "the report is under way", open); err != nil {
 		return err
 	}
 	if !d.fleet.Stop(ctx) {
--- /dev/null
+++ b/internal/standin/fleet/fleet.go
@@ -0,0 +1,443 @@
+// Package fleet runs entry VMs with stand-ins of platform, engines and plain
+// services in one process, over loopback or over a network in memory.
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rotisserie/eris"
+
+	"github.com/pimentohinge/pimentohinge/internal/control/chain"
+	"github.com/pimentohinge/pimentohinge/internal/network"
+	"github.com/pimentohinge/pimentohinge/internal/settings"
+	"github.com/pimentohinge/pimentohinge/internal/standin/ledger"
+	"github.com/pimentohinge/pimentohinge/internal/standin/llm"
+	"github.com/pimentohinge/pimentohinge/internal/standin/model"
+	"github.com/pimentohinge/pimentohinge/internal/standin/store"
+	"github.com/pimentohinge/pimentohinge/internal/vm"
+	"github.com/pimentohinge/pimentohinge/pkg/client"
+	"github.com/pimentohinge/pimentohinge/pkg/wire"
+)
+
+// Names in the fleet's configuration.
+const (
+	ServiceReports = "report-writer"
+	ServiceTags    = "tag-ledger"
+	Model          = "report-writer-8b"
+	Workspace      = "harbottle-inspections"
+	WorkspaceKey   = "harbottle-inspections-key"
+	OtherWorkspace = "crane-schools"
+	OtherKey       = "crane-schools-key"
+	OperatorKey    = "operator-key-1"
+	peerKey        = "fleet-peer-key-0123456789"
+	pollPause      = 10 * time.Millisecond
+	headerTimeout  = 10 * time.Second
+)
+
+// Hosts gives each process of the fleet its place in a network.
+type Hosts interface {
+	// Host returns the network as a host sees it.
+	Host(host string) network.Network
+	// Address returns a fresh address on a host.
+	Address(host string) (string, error)
+}
+
+// Loopback places every process on the loopback interface.
+type Loopback struct{}
+
+// Host returns the network of the operating system.
+func (Loopback) Host(string) network.Network { return network.TCP{} }
+
+// Address returns a free loopback address.
+func (Loopback) Address(string) (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", eris.Wrap(err, "find a free port")
+	}
+	defer func() { _ = ln.Close() }()
+	return ln.Addr().String(), nil
+}
+
+// DataCentre describes one data centre.
+type DataCentre struct {
+	// Name and Region name it.
+	Name   string
+	Region string
+	// VMs, Engines and Ledgers count its processes.
+	VMs     int
+	Engines int
+	Ledgers int
+}
+
+// Options describes a fleet.
+type Options struct {
+	// Hosts places the processes.
+	Hosts Hosts
+	// DataCentres is the fleet's layout.
+	DataCentres []DataCentre
+	// Log gets the VMs' log lines.
+	Log *log.Logger
+	// Settings changes a VM's settings before it starts; it may be nil.
+	Settings func(*settings.Settings)
+	// Engine changes an engine's options before it starts; it may be nil.
+	Engine func(*llm.Options)
+	// Deduplicates makes the ledgers run each key once, and the configuration say so.
+	Deduplicates bool
+}
+
+// Engine is one engine of the fleet.
+type Engine struct {
+	*llm.Engine
+	// Backend is how the platform lists the engine.
+	Backend wire.Backend
+	// Host is the engine's host.
+	Host string
+
+	server *http.Server
+	cancel context.CancelFunc
+}
+
+// Ledger is one plain service of the fleet.
+type Ledger struct {
+	*ledger.Ledger
+	// Backend is how the platform lists the service.
+	Backend wire.Backend
+	// Host is the service's host.
+	Host string
+
+	server *http.Server
+}
+
+// VM is one entry VM of the fleet.
+type VM struct {
+	*vm.VM
+	// Host is the VM's host.
+	Host string
+	// Callers is the URL of the callers' interface, Operators that of the operators'.
+	Callers   string
+	Operators string
+
+	settings settings.Settings
+}
+
+// Fleet is everything that runs.
+type Fleet struct {
+	// Store is the platform's object service.
+	Store *store.Store
+	// StoreHost is its host.
+	StoreHost string
+	// VMs, Engines and Ledgers are the processes, in order of the layout.
+	VMs     []*VM
+	Engines []*Engine
+	Ledgers []*Ledger
+
+	opts     Options
+	platform string
+	servers  []*http.Server
+	hosts    int
+}
+
+// Note returns the release note that configures the fleet's services.
+func (f *Fleet) Note() wire.ReleaseNote {
+	services := []string{ServiceReports, ServiceTags}
+	return wire.ReleaseNote{Id: "fleet-1", Author: "fleet", Added: &wire.Objects{
+		Services: []wire.Service{
+			{Name: ServiceReports, Kind: chain.KindModel, Model: Model},
+			{Name: ServiceTags, Kind: chain.KindPlain, NonRepeatable: []string{"POST /tags"}, Deduplicates: f.opts.Deduplicates},
+		},
+		Workspaces: []wire.Workspace{
+			{Name: Workspace, KeyHashes: []string{chain.KeyHash(WorkspaceKey)}, Services: services},
+			{Name: OtherWorkspace, KeyHashes: []string{chain.KeyHash(OtherKey)}, Services: services},
+		},
+	}}
+}
+
+// Start starts stand-ins and VMs. After an error nothing runs.
+func Start(o Options) (*Fleet, error) {
+	f := &Fleet{Store: store.New(), opts: o}
+	if err := f.start(); err != nil {
+		f.Kill()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) start() error {
+	f.StoreHost = f.newHost()
+	addr, s, err := f.serve(f.StoreHost, f.Store.Handler())
+	if err != nil {
+		return err
+	}
+	f.servers = append(f.servers, s)
+	f.platform = "http://" + addr
+	for _, dc := range f.opts.DataCentres {
+		for range dc.Engines {
+			if _, err := f.AddEngine(dc); err != nil {
+				return err
+			}
+		}
+		for range dc.Ledgers {
+			if err := f.addLedger(dc); err != nil {
+				return err
+			}
+		}
+	}
+	for _, dc := range f.opts.DataCentres {
+		for range dc.VMs {
+			if _, err := f.AddVM(dc); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) newHost() string {
+	f.hosts++
+	return fmt.Sprintf("10.0.%d.%d", f.hosts/256, f.hosts%256)
+}
+
+func (f *Fleet) serve(host string, h http.Handler) (string, *http.Server, error) {
+	addr, err := f.opts.Hosts.Address(host)
+	if err != nil {
+		return "", nil, err
+	}
+	ln, err := f.opts.Hosts.Host(host).Listen(addr)
+	if err != nil {
+		return "", nil, eris.Wrap(err, "listen")
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	go func() { _ = s.Serve(ln) }()
+	return addr, s, nil
+}
+
+func (f *Fleet) list(b wire.Backend) { f.Store.Set("backends/"+b.Name, b) }
+
+// AddEngine starts one more engine.
+func (f *Fleet) AddEngine(dc DataCentre) (*Engine, error) {
+	name := fmt.Sprintf("%s-%d", ServiceReports, len(f.Engines)+1)
+	o := llm.Options{
+		Name: name, Models: []string{Model}, Model: model.DefaultOptions(),
+		ReportLag: 300 * time.Millisecond, CacheLag: time.Second,
+	}
+	if f.opts.Engine != nil {
+		f.opts.Engine(&o)
+	}
+	e := &Engine{Engine: llm.New(o), Host: f.newHost()}
+	addr, s, err := f.serve(e.Host, e.Handler())
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	e.server, e.cancel = s, cancel
+	go e.Run(ctx)
+	e.Backend = wire.Backend{
+		Name: name, Service: ServiceReports, Kind: "engine", Address: addr,
+		Region: dc.Region, DataCentre: dc.Name, State: "live", ChecksFencing: o.ChecksFencing,
+	}
+	f.Engines = append(f.Engines, e)
+	f.list(e.Backend)
+	return e, nil
+}
+
+func (f *Fleet) addLedger(dc DataCentre) error {
+	l := &Ledger{Ledger: ledger.New(), Host: f.newHost()}
+	l.Deduplicates = f.opts.Deduplicates
+	addr, s, err := f.serve(l.Host, l.Handler())
+	if err != nil {
+		return err
+	}
+	l.server = s
+	l.Backend = wire.Backend{
+		Name: fmt.Sprintf("%s-%d", ServiceTags, len(f.Ledgers)+1), Service: ServiceTags, Kind: chain.KindPlain,
+		Address: addr, Region: dc.Region, DataCentre: dc.Name, State: "live",
+	}
+	f.Ledgers = append(f.Ledgers, l)
+	f.list(l.Backend)
+	return nil
+}
+
+// AddVM starts one more entry VM.
+func (f *Fleet) AddVM(dc DataCentre) (*VM, error) {
+	s := settings.Defaults()
+	s.VM = settings.VM{Name: fmt.Sprintf("entry-%d", len(f.VMs)+1), Region: dc.Region, DataCentre: dc.Name}
+	s.Platform.Address = f.platform
+	s.Peers.Key = peerKey
+	s.Peers.ProbeIntervalMs = 200
+	s.Operators.Keys = []settings.OperatorKey{{Name: "operator-1", Key: OperatorKey}}
+	s.Callers.NotReadyMs = 200
+	s.Callers.TokenDeadlineMs = 1000
+	host := f.newHost()
+	for _, addr := range []*string{&s.Listen.Callers, &s.Listen.Peers, &s.Listen.Operators} {
+		var err error
+		if *addr, err = f.opts.Hosts.Address(host); err != nil {
+			return nil, err
+		}
+	}
+	for _, other := range f.VMs {
+		s.Peers.Seeds = append(s.Peers.Seeds, other.settings.Listen.Peers)
+	}
+	if f.opts.Settings != nil {
+		f.opts.Settings(&s)
+	}
+	v := &VM{Host: host, Callers: "http://" + s.Listen.Callers, Operators: "http://" + s.Listen.Operators, settings: s}
+	if err := f.run(v, uint64(len(f.VMs))); err != nil {
+		return nil, err
+	}
+	f.VMs = append(f.VMs, v)
+	return v, nil
+}
+
+func (f *Fleet) run(v *VM, seed uint64) error {
+	v.VM = vm.New(vm.Options{Settings: v.settings, Network: f.opts.Hosts.Host(v.Host), Log: f.opts.Log, Seed: seed})
+	return v.Start()
+}
+
+// Restart starts a VM that was killed or stopped again, with the same name and
+// addresses.
+func (f *Fleet) Restart(i int) error { return f.run(f.VMs[i], uint64(len(f.VMs)+i)) }
+
+// KillEngine ends an engine at once.
+func (f *Fleet) KillEngine(i int) {
+	f.Engines[i].cancel()
+	_ = f.Engines[i].server.Close()
+}
+
+// KillLedger ends a plain service at once.
+func (f *Fleet) KillLedger(i int) { _ = f.Ledgers[i].server.Close() }
+
+// List changes how the platform lists an engine.
+func (f *Fleet) List(i int, state string) {
+	b := f.Engines[i].Backend
+	b.State = state
+	f.list(b)
+}
+
+// SetOutage makes the platform refuse every call.
+func (f *Fleet) SetOutage(out bool) { f.Store.SetFaults(store.Faults{Outage: out}) }
+
+// Client returns a client of the fleet's workspace on a host of its own, which
+// tries the given VMs in order.
+func (f *Fleet) Client(vms ...int) *client.Client {
+	c := &client.Client{Key: WorkspaceKey, HTTP: network.Client(f.opts.Hosts.Host(f.ClientHost()))}
+	for _, i := range vms {
+		c.Addresses = append(c.Addresses, f.VMs[i].Callers)
+	}
+	return c
+}
+
+// ClientHost is the host of every client.
+func (f *Fleet) ClientHost() string { return "10.9.9.9" }
+
+// Await polls until a condition holds. The error says what was awaited.
+func Await(ctx context.Context, what string, holds func() bool) error {
+	for !holds() {
+		select {
+		case <-ctx.Done():
+			return eris.New("timed out waiting until " + what)
+		case <-time.After(pollPause):
+		}
+	}
+	return nil
+}
+
+// All reports whether a condition holds on every VM.
+func (f *Fleet) All(holds func(*VM) bool) bool {
+	for _, v := range f.VMs {
+		if !holds(v) {
+			return false
+		}
+	}
+	return true
+}
+
+// AwaitReady waits until every VM is ready and knows the whole fleet.
+func (f *Fleet) AwaitReady(ctx context.Context) error {
+	return Await(ctx, "the VMs know each other and all backends", func() bool {
+		return f.All(func(v *VM) bool {
+			ok, _ := v.Ready()
+			w := v.View()
+			return ok && len(w.Members) == len(f.VMs) && len(w.Backends) == len(f.Engines)+len(f.Ledgers) && f.reported(v)
+		})
+	})
+}
+
+// reported reports whether a VM has a load report of each engine that it admits
+// for.
+func (f *Fleet) reported(v *VM) bool {
+	for _, b := range v.View().Backends {
+		if b.Admitter == v.Self().Name && b.Report.CapacityBlocks == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Configure submits the fleet's release note and waits until it is in force
+// everywhere.
+func (f *Fleet) Configure(ctx context.Context) error {
+	r := f.VMs[0].Release(ctx, f.Note())
+	if r.Status != "accepted" {
+		return eris.Errorf("release note was not accepted: %s %v", r.Status, r.Reasons)
+	}
+	return f.AwaitRevision(ctx, r.Revision)
+}
+
+// AwaitRevision waits until a revision is in force on every VM.
+func (f *Fleet) AwaitRevision(ctx context.Context, n int) error {
+	return Await(ctx, "the revision is in force everywhere", func() bool {
+		return f.All(func(v *VM) bool { return v.State().Number >= n })
+	})
+}
+
+// Leaves reports whether every VM of the backend's data centre knows that the
+// backend leaves.
+func (f *Fleet) Leaves(name string) bool {
+	return f.All(func(v *VM) bool {
+		for _, b := range v.View().Backends {
+			if b.Name == name {
+				return b.Leaving || b.DataCentre != v.Self().DataCentre
+			}
+		}
+		return false
+	})
+}
+
+// Stop stops every VM gracefully and reports whether none cut off a request.
+func (f *Fleet) Stop(ctx context.Context) bool {
+	whole := make([]bool, len(f.VMs))
+	var wg sync.WaitGroup
+	for i, v := range f.VMs {
+		wg.Go(func() { whole[i] = v.Stop(ctx) })
+	}
+	wg.Wait()
+	for _, w := range whole {
+		if !w {
+			return false
+		}
+	}
+	return true
+}
+
+// Kill ends everything at once.
+func (f *Fleet) Kill() {
+	for _, v := range f.VMs {
+		v.Kill()
+	}
+	for _, e := range f.Engines {
+		e.cancel()
+		_ = e.server.Close()
+	}
+	for _, l := range f.Ledgers {
+		_ = l.server.Close()
+	}
+	for _, s := range f.servers {
+		_ = s.Close()
+	}
+}
--- a/pkg/client/stream.go
+++ b/pkg/client/stream.go
@@ -45,18 +45,48 @@
 	FinishReason string
 }
 
-// stream is the state of one streamed answer over its connections.
-type stream struct {
-	Result
-	lastID string
-	done   bool
+// Whole is an answer that was not streamed.
+type Whole struct {
+	// RequestID names the request for pimentohinge explain.
+	RequestID string
+	// Text is the whole answer.
+	Text string
+	// Tokens is its length.
+	Tokens int
+	// FinishReason is stop or length.
+	FinishReason string
 }
 
-// Stream delivers the tokens of one answer in order and once each, resuming
-// through the next address when a connection breaks. An error of deliver ends
-// the stream. An *Error reports a refusal or an early end.
-func (c *Client) Stream(ctx context.Context, r Completion, deliver func(Token) error) (Result, error) {
-	body := map[string]any{"model": r.Model, "prompt": r.Prompt, "stream": true}
+// Complete gets an answer in one piece through the first address.
+func (c *Client) Complete(ctx context.Context, r Completion) (Whole, error) {
+	resp, err := c.complete(ctx, r, false)
+	if err != nil {
+		return Whole{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return Whole{}, refusal(resp)
+	}
+	var a struct {
+		chunk
+		Usage struct {
+			CompletionTokens int `json:"completion_tokens"`
+		} `json:"usage"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&a); err != nil {
+		return Whole{}, eris.Wrap(err, "read answer")
+	}
+	if len(a.Choices) != 1 || a.Choices[0].FinishReason == nil {
+		return Whole{}, eris.New("read answer: no finished choice")
+	}
+	return Whole{
+		RequestID: resp.Header.Get("X-Request-Id"), Text: a.Choices[0].Text,
+		Tokens: a.Usage.CompletionTokens, FinishReason: *a.Choices[0].FinishReason,
+	}, nil
+}
+
+func (c *Client) complete(ctx context.Context, r Completion, stream bool) (*http.Response, error) {
+	body := map[string]any{"model": r.Model, "prompt": r.Prompt, "stream": stream}
 	if r.MaxTokens > 0 {
 		body["max_tokens"] = r.MaxTokens
 	}
@@ -65,10 +95,24 @@
 	}
 	b, err := json.Marshal(body)
 	if err != nil {
-		return Result{}, eris.Wrap(err, "encode request")
+		return nil, eris.Wrap(err, "encode request")
 	}
+	return c.do(ctx, http.MethodPost, c.address(0)+"/v1/completions", b, http.Header{"Content-Type": {"application/json"}})
+}
+
+// stream is the state of one streamed answer over its connections.
+type stream struct {
+	Result
+	lastID string
+	done   bool
+}
+
+// Stream delivers the tokens of one answer in order and once each, resuming
+// through the next address when a connection breaks. An error of deliver ends
+// the stream. An *Error reports a refusal or an early end.
+func (c *Client) Stream(ctx context.Context, r Completion, deliver func(Token) error) (Result, error) {
 	s := &stream{}
-	resp, err := c.do(ctx, http.MethodPost, c.address(0)+"/v1/completions", b, http.Header{"Content-Type": {"application/json"}})
+	resp, err := c.complete(ctx, r, true)
 	for try := 1; ; try++ {
 		before := s.Tokens
 		if err == nil {
--- /dev/null
+++ b/test/faults/fleet_test.go
@@ -0,0 +1,176 @@
+package faults_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pimentohinge/pimentohinge/internal/invariant"
+	"github.com/pimentohinge/pimentohinge/internal/logline"
+	"github.com/pimentohinge/pimentohinge/internal/standin/fleet"
+	"github.com/pimentohinge/pimentohinge/internal/standin/llm"
+	"github.com/pimentohinge/pimentohinge/internal/standin/pipenet"
+	"github.com/pimentohinge/pimentohinge/pkg/client"
+)
+
+// violations collects broken invariants. Tests run side by side, so one may be
+// reported by another test than the one that broke it.
+type violations struct {
+	mu   sync.Mutex
+	list []invariant.Violation
+}
+
+func (v *violations) add(x invariant.Violation) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.list = append(v.list, x)
+}
+
+func (v *violations) take() []invariant.Violation {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	list := v.list
+	v.list = nil
+	return list
+}
+
+var broken violations
+
+func TestMain(m *testing.M) {
+	invariant.Handle(broken.add)
+	os.Exit(m.Run())
+}
+
+// world is a fleet on virtual time with what a test needs to break it.
+type world struct {
+	*fleet.Fleet
+	t   *testing.T
+	ctx context.Context
+	net *pipenet.Fabric
+	log *strings.Builder
+}
+
+// twoCentres is the layout of most tests.
+func twoCentres() []fleet.DataCentre {
+	return []fleet.DataCentre{
+		{Name: "walsall-a-1", Region: "walsall-a", VMs: 2, Engines: 2, Ledgers: 1},
+		{Name: "walsall-a-2", Region: "walsall-a", VMs: 2, Engines: 1, Ledgers: 1},
+	}
+}
+
+// inWorld runs a test on a configured fleet. Broken invariants fail the test.
+func inWorld(t *testing.T, change func(*fleet.Options), test func(w *world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{t: t, ctx: t.Context(), net: pipenet.New(), log: &strings.Builder{}}
+		w.net.Delay = func(_, _ string) time.Duration { return 200 * time.Microsecond }
+		o := fleet.Options{Hosts: w.net, DataCentres: twoCentres(), Log: logline.New(io.Discard, "error")}
+		if change != nil {
+			change(&o)
+		}
+		f, err := fleet.Start(o)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.Fleet = f
+		defer w.end()
+		defer func() {
+			for _, v := range broken.take() {
+				t.Error(v.Error())
+			}
+		}()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		if err := f.AwaitReady(ctx); err != nil {
+			t.Fatal(err)
+		}
+		if err := f.Configure(ctx); err != nil {
+			t.Fatal(err)
+		}
+		test(w)
+	})
+}
+
+// end kills the fleet and lets every goroutine finish, as virtual time stands
+// still once the test has returned.
+func (w *world) end() {
+	w.Kill()
+	w.net.Close()
+	time.Sleep(time.Minute)
+}
+
+// answer is what a caller got of one streamed report.
+type answer struct {
+	client.Result
+	text string
+	err  error
+}
+
+// stream asks for a report of a length through some VMs. at is called for each
+// token; it may be nil.
+func (w *world) stream(length int, at func(index int), vms ...int) answer {
+	var a answer
+	var text strings.Builder
+	next := 0
+	a.Result, a.err = w.Client(vms...).Stream(w.ctx, client.Completion{
+		Model: fleet.ServiceReports, Prompt: fmt.Sprintf("Draft a report, length=%d", length),
+	}, func(t client.Token) error {
+		if t.Index != next {
+			w.t.Errorf("token %d came in place of %d", t.Index, next)
+		}
+		next++
+		text.WriteString(t.Text)
+		if at != nil {
+			at(t.Index)
+		}
+		return nil
+	})
+	a.text = text.String()
+	return a
+}
+
+// generationText is the text of one generation of the stand-in engines.
+func generationText(generation string, tokens int) string {
+	var b strings.Builder
+	for i := range tokens {
+		b.WriteString(llm.Text(generation, i))
+	}
+	return b.String()
+}
+
+// oneGeneration reports whether a text is the beginning of one of the
+// request's generations.
+func oneGeneration(request, text string, tokens int) bool {
+	for attempt := 1; attempt <= 4; attempt++ {
+		if generationText(fmt.Sprintf("%s-%d", request, attempt), tokens) == text {
+			return true
+		}
+	}
+	return false
+}
+
+func TestStreamArrivesWhole(t *testing.T) {
+	inWorld(t, nil, func(w *world) {
+		a := w.stream(300, nil, 0)
+		if a.err != nil || a.Tokens != 300 || !oneGeneration(a.RequestID, a.text, 300) {
+			t.Fatalf("got %d tokens, error %v", a.Tokens, a.err)
+		}
+	})
+}
+
+// wholeAnswer is a buffered answer.
+type wholeAnswer struct{ request, text string }
+
+// buffered asks VM 0 for a report that is not streamed.
+func (w *world) buffered(length int) (wholeAnswer, error) {
+	r, err := w.Client(0).Complete(w.ctx, client.Completion{
+		Model: fleet.ServiceReports, Prompt: fmt.Sprintf("Draft a report, length=%d", length),
+	})
+	return wholeAnswer{r.RequestID, r.Text}, err
+}
