test/faults: catch planted mistakes and finish queued work at a stop

Cause: a matrix in which every cell passes proves nothing until its checks have been seen to fail. And a VM that stopped refused the requests that it had accepted and queued: with 200 streams through one VM before three engines of 48 slots, 56 callers got vmStopping.

A stopping VM now places and finishes what it accepted before. A key that another attempt holds is told as unknown, no longer as notRun, since the other attempt may run.

Ruled out: refusing queued work with a hint to retry elsewhere; the caller would have to do what the VM can do itself.

--- a/internal/caller/plain.go
+++ b/internal/caller/plain.go
@@ -16,6 +16,7 @@
 	"github.com/pimentohinge/pimentohinge/internal/incident"
 	"github.com/pimentohinge/pimentohinge/internal/invariant"
 	"github.com/pimentohinge/pimentohinge/internal/outcome"
+	"github.com/pimentohinge/pimentohinge/internal/planted"
 	"github.com/pimentohinge/pimentohinge/internal/service"
 	"github.com/pimentohinge/pimentohinge/internal/ticket"
 	"github.com/pimentohinge/pimentohinge/pkg/wire"
@@ -126,7 +127,7 @@
 	c.timeline.Add(wire.Event{
 		Kind: incident.EventClaimed, Detail: "result " + claimResults[r], Value: int(time.Since(started).Milliseconds()),
 	})
-	if r != claim.Granted {
+	if r != claim.Granted && !planted.Is(planted.DispatchWithoutClaim) {
 		return s.claimRefused(c, h, r)
 	}
 	c.plain.permitted = true
@@ -149,13 +150,13 @@
 	case claim.Reused:
 		return outcome.Refuse(outcome.KeyReused, ""), false
 	case claim.Taken:
-		o := outcome.Refuse(outcome.ClaimTaken, holder)
-		o.RetryAt = time.Now().Add(time.Second)
-		return o, false
+		return outcome.Outcome{
+			Kind: outcome.Unknown, Cause: outcome.ClaimTaken, Detail: holder, RetryAt: time.Now().Add(time.Second),
+		}, false
 	case claim.HolderLost:
 		return outcome.Outcome{Kind: outcome.Unknown, Cause: outcome.HolderLost, Detail: holder}, false
 	}
-	o := outcome.Refuse(outcome.PlatformOut, "a ticket works without the platform")
+	o := outcome.Refuse(outcome.PlatformOut, "this attempt was not sent; a ticket works without the platform")
 	o.RetryAt = time.Now().Add(time.Second)
 	return o, false
 }
@@ -190,7 +191,7 @@
 // spend uses a ticket here, or at the VM that issued it.
 func (s *Server) spend(c *call, token string) (outcome.Outcome, bool) {
 	t, known := s.opts.Tickets.Open(token)
-	if known && t.VM != s.opts.VM {
+	if known && t.VM != s.opts.VM && !planted.Is(planted.TicketSpentAnywhere) {
 		a, o := s.forward(c, t, token)
 		if o.Kind == outcome.Finished {
 			return writeAnswer(c, a)
@@ -359,5 +360,8 @@
 	if mayHaveRun {
 		o.Kind = outcome.Unknown
 	}
+	if o.Kind == outcome.Unknown && planted.Is(planted.UnknownCalledNotRun) {
+		o.Kind = outcome.NotRun
+	}
 	return o
 }
--- a/internal/caller/relay.go
+++ b/internal/caller/relay.go
@@ -9,6 +9,7 @@
 	"github.com/pimentohinge/pimentohinge/internal/engine"
 	"github.com/pimentohinge/pimentohinge/internal/incident"
 	"github.com/pimentohinge/pimentohinge/internal/outcome"
+	"github.com/pimentohinge/pimentohinge/internal/planted"
 	"github.com/pimentohinge/pimentohinge/pkg/wire"
 )
 
@@ -60,11 +61,11 @@
 		r := s.newRelay(c, out, placed, attempt)
 		o = r.start()
 		ran = ran || r.ran
-		if ran && o.Kind == outcome.NotRun {
+		if ran && o.Kind == outcome.NotRun && !planted.Is(planted.RefusalWithoutCheck) {
 			// An earlier attempt did run on an engine, if in vain.
 			o.Kind = outcome.Interrupted
 		}
-		again := retriable(o) && out.restartable() && attempt < maxAttempts && c.r.Context().Err() == nil
+		again := retriable(o) && (out.restartable() || planted.Is(planted.RestartMidStream)) && attempt < maxAttempts && c.r.Context().Err() == nil
 		s.opts.Broker.Ended(control.Ended{ID: c.id, Tokens: r.next, Outcome: o, Last: !again})
 		if !again {
 			return o
@@ -294,7 +295,7 @@
 
 func (r *relay) failed(cause outcome.Cause) outcome.Outcome {
 	o := outcome.Outcome{Kind: outcome.Interrupted, Cause: cause, Tokens: r.next, Detail: "engine " + r.backend.Name}
-	if !r.ran {
+	if !r.ran || planted.Is(planted.RefusalWithoutCheck) {
 		o.Kind = outcome.NotRun
 	}
 	if r.out.restartable() {
@@ -324,6 +325,9 @@
 }
 
 func (r *relay) cancel() {
+	if planted.Is(planted.CallerGoneIgnored) {
+		return
+	}
 	ctx, stop := context.WithTimeout(context.Background(), cancelTimeout)
 	defer stop()
 	r.s.opts.Engines.Cancel(ctx, r.backend.Address, r.token.Generation)
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/pimentohinge/pimentohinge/internal/planted"
 	"github.com/pimentohinge/pimentohinge/internal/platform"
 	"github.com/pimentohinge/pimentohinge/pkg/wire"
 )
@@ -131,6 +132,9 @@
 		if st == platform.Unavailable {
 			return h, Out
 		}
+		if st == platform.Lost && planted.Is(planted.LostClaimGranted) {
+			return h, Granted
+		}
 		o, st := c.read(ctx, h.Key)
 		if st == platform.NotFound {
 			// The create was lost and did not take effect, or the record expired: try again.
@@ -173,7 +177,7 @@
 		return 0, true
 	}
 	lost := found.State == StateUnknown || !c.alive(found.Vm, found.Incarnation)
-	if lost && a.Deduplicates {
+	if lost && (a.Deduplicates || planted.Is(planted.ClaimPassedOn)) {
 		return 0, true
 	}
 	if lost {
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/pimentohinge/pimentohinge/internal/control/chain"
 	"github.com/pimentohinge/pimentohinge/internal/invariant"
+	"github.com/pimentohinge/pimentohinge/internal/planted"
 	"github.com/pimentohinge/pimentohinge/pkg/wire"
 )
 
@@ -10,7 +11,7 @@
 // that a configuration never reverts.
 func (c *Core) revisions(snap *wire.Snapshot, list []wire.Revision, source string) {
 	before := c.state
-	if snap != nil && snap.Number > c.state.Number {
+	if snap != nil && (snap.Number > c.state.Number || planted.Is(planted.OldRevisionAccepted)) {
 		c.state = chain.FromSnapshot(*snap)
 		c.history = nil
 	}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -236,14 +236,13 @@
 	c.handOverReservations()
 }
 
-// stop makes the VM accept no new work, answers what is queued and tells the
-// other VMs.
+// stop makes the VM accept no new work and tells the other VMs. What was
+// accepted before is still placed and finished.
 func (c *Core) stop() {
 	if c.stopping {
 		return
 	}
 	c.stopping = true
-	c.refuseQueued()
 	for _, o := range c.members.Leave() {
 		p := o.Probe
 		c.send(o.To, wire.Frame{Probe: &p})
--- a/internal/control/queue.go
+++ b/internal/control/queue.go
@@ -148,19 +148,3 @@
 		c.pump(c.queues[name])
 	}
 }
-
-// refuseQueued answers everything that has not been dispatched when the VM
-// stops.
-func (c *Core) refuseQueued() {
-	for _, name := range sortedKeys(c.queues) {
-		q := c.queues[name]
-		for _, r := range q.waiting {
-			if r.phase == asking {
-				c.endRemote(r, 0, false)
-			}
-			delete(c.requests, r.ID)
-			c.refuse(r, outcome.Refuse(outcome.VMStopping, ""))
-		}
-		q.waiting = nil
-	}
-}
--- a/internal/control/request.go
+++ b/internal/control/request.go
@@ -7,6 +7,7 @@
 	"github.com/pimentohinge/pimentohinge/internal/control/admit"
 	"github.com/pimentohinge/pimentohinge/internal/control/chain"
 	"github.com/pimentohinge/pimentohinge/internal/outcome"
+	"github.com/pimentohinge/pimentohinge/internal/planted"
 	"github.com/pimentohinge/pimentohinge/pkg/wire"
 )
 
@@ -81,7 +82,7 @@
 
 // admissible applies what ends a request before it is queued.
 func (c *Core) admissible(r *request, found bool) outcome.Outcome {
-	if c.stopping {
+	if c.stopping && !r.Retry {
 		return outcome.Refuse(outcome.VMStopping, "")
 	}
 	if !found {
@@ -169,7 +170,10 @@
 
 // eligible reports whether a backend may get this request at all.
 func (c *Core) eligible(r *request, b *backend) bool {
-	if b.State != stateLive || b.leaving || b.unreachable {
+	if (b.State != stateLive || b.leaving) && !planted.Is(planted.LeavingIgnored) {
+		return false
+	}
+	if b.unreachable {
 		return false
 	}
 	for _, x := range r.Excluded {
--- a/internal/control/reserve.go
+++ b/internal/control/reserve.go
@@ -6,6 +6,7 @@
 
 	"github.com/pimentohinge/pimentohinge/internal/control/admit"
 	"github.com/pimentohinge/pimentohinge/internal/outcome"
+	"github.com/pimentohinge/pimentohinge/internal/planted"
 	"github.com/pimentohinge/pimentohinge/pkg/wire"
 )
 
@@ -158,7 +159,7 @@
 	switch {
 	case b == nil || b.ledger == nil:
 		reply.Cause = string(outcome.NoReplica)
-	case b.leaving || b.State != stateLive:
+	case (b.leaving || b.State != stateLive) && !planted.Is(planted.LeavingIgnored):
 		reply.Cause = string(outcome.EngineReclaimed)
 	case c.stopping:
 		reply.Cause = string(outcome.AdmitterLost)
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/pimentohinge/pimentohinge/internal/outcome"
+	"github.com/pimentohinge/pimentohinge/internal/planted"
 )
 
 // readBufferBytes bounds one line of a stream.
@@ -90,6 +91,9 @@
 			continue
 		}
 		index, mine := s.parseID(e.id)
+		if planted.Is(planted.NoIndexCheck) {
+			s.next = index
+		}
 		if !mine || index > s.next || !json.Valid(e.data) || len(e.data) == 0 || e.data[0] != '"' {
 			return Token{}, End{Cause: outcome.StalledLink}, false
 		}
@@ -186,6 +190,9 @@
 func newWatchdog(silence time.Duration, cancel context.CancelFunc) *watchdog {
 	w := &watchdog{silence: silence, cancel: cancel}
 	w.timer = time.AfterFunc(silence, func() {
+		if planted.Is(planted.StallUnseen) {
+			return
+		}
 		w.fired.Store(true)
 		cancel()
 	})
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/pimentohinge/pimentohinge/internal/outcome"
+	"github.com/pimentohinge/pimentohinge/internal/planted"
 )
 
 // MaxAnswerBytes is the largest answer that is passed on.
@@ -71,8 +72,10 @@
 	}
 	// The transport repeats a request by itself when it has a key and no body,
 	// or when the body can be had again. Neither must hold here.
-	req.Body = io.NopCloser(bytes.NewReader(call.Body))
-	req.GetBody = nil
+	if !planted.Is(planted.TransportRepeats) {
+		req.Body = io.NopCloser(bytes.NewReader(call.Body))
+		req.GetBody = nil
+	}
 	if call.ContentType != "" {
 		req.Header.Set("Content-Type", call.ContentType)
 	}
--- a/internal/standin/pipenet/pipenet.go
+++ b/internal/standin/pipenet/pipenet.go
@@ -9,6 +9,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -106,6 +107,18 @@
 	}
 }
 
+// Stick stops the present connections between two hosts for good, without
+// closing them. New connections work.
+func (f *Fabric) Stick(a, b string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.conns {
+		if (c.local == a && c.remote == b) || (c.local == b && c.remote == a) {
+			c.stuck.Store(true)
+		}
+	}
+}
+
 // Reset closes the connections between two hosts, as a broken link would.
 func (f *Fabric) Reset(a, b string) {
 	f.closeWhere(func(c *conn) bool {
@@ -233,6 +246,7 @@
 	local, remote string
 	closed        chan struct{}
 	once          *sync.Once
+	stuck         *atomic.Bool
 	wires         [2]net.Conn // ends that the pumps use, closed with the connection
 }
 
@@ -258,15 +272,15 @@
 func (f *Fabric) connect(a, b string) (near, far *conn) {
 	nearApp, nearWire := net.Pipe()
 	farApp, farWire := net.Pipe()
-	closed, once := make(chan struct{}), &sync.Once{}
+	closed, once, stuck := make(chan struct{}), &sync.Once{}, &atomic.Bool{}
 	wires := [2]net.Conn{nearWire, farWire}
-	near = &conn{Conn: nearApp, f: f, local: a, remote: b, closed: closed, once: once, wires: wires}
-	far = &conn{Conn: farApp, f: f, local: b, remote: a, closed: closed, once: once, wires: wires}
+	near = &conn{Conn: nearApp, f: f, local: a, remote: b, closed: closed, once: once, stuck: stuck, wires: wires}
+	far = &conn{Conn: farApp, f: f, local: b, remote: a, closed: closed, once: once, stuck: stuck, wires: wires}
 	f.mu.Lock()
 	f.conns[near], f.conns[far] = true, true
 	f.mu.Unlock()
-	f.pump(a, b, nearWire, farWire, closed)
-	f.pump(b, a, farWire, nearWire, closed)
+	f.pump(a, b, nearWire, farWire, near)
+	f.pump(b, a, farWire, nearWire, far)
 	return near, far
 }
 
@@ -302,7 +316,8 @@
 }
 
 // pump carries data in one direction until either end is closed.
-func (f *Fabric) pump(from, to string, src, dst net.Conn, closed <-chan struct{}) {
+func (f *Fabric) pump(from, to string, src, dst net.Conn, of *conn) {
+	closed := of.closed
 	queue := make(chan chunk, windowChunks)
 	var delay time.Duration
 	if f.Delay != nil {
@@ -331,6 +346,10 @@
 			if !sleepUntil(c.due, closed) || !f.await(from, to, closed) {
 				return
 			}
+			if of.stuck.Load() {
+				<-closed
+				return
+			}
 			if _, err := dst.Write(c.data); err != nil {
 				return
 			}
--- a/internal/ticket/ticket.go
+++ b/internal/ticket/ticket.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/pimentohinge/pimentohinge/internal/planted"
 	"github.com/pimentohinge/pimentohinge/internal/seal"
 )
 
@@ -104,6 +105,9 @@
 	if !ok || t.Workspace != workspace {
 		return t, Answer{}, Invalid
 	}
+	if planted.Is(planted.TicketSpentAnywhere) {
+		t.VM, t.Incarnation = b.vm, b.incarnation
+	}
 	if t.VM != b.vm {
 		return t, Answer{}, Foreign
 	}
--- a/internal/vm/release.go
+++ b/internal/vm/release.go
@@ -10,6 +10,7 @@
 	"github.com/pimentohinge/pimentohinge/internal/control"
 	"github.com/pimentohinge/pimentohinge/internal/control/chain"
 	"github.com/pimentohinge/pimentohinge/internal/operator"
+	"github.com/pimentohinge/pimentohinge/internal/planted"
 	"github.com/pimentohinge/pimentohinge/internal/platform"
 	"github.com/pimentohinge/pimentohinge/pkg/wire"
 )
@@ -119,6 +120,9 @@
 	if st == platform.Unavailable {
 		return rev, platform.Unavailable
 	}
+	if planted.Is(planted.LostAppendAccepted) {
+		return rev, platform.OK
+	}
 	for range 10 {
 		o, read := v.platform.Get(ctx, revisionKey(rev.Number))
 		var found wire.Revision
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -24,6 +24,7 @@
 	"github.com/pimentohinge/pimentohinge/internal/network"
 	"github.com/pimentohinge/pimentohinge/internal/operator"
 	"github.com/pimentohinge/pimentohinge/internal/peer"
+	"github.com/pimentohinge/pimentohinge/internal/planted"
 	"github.com/pimentohinge/pimentohinge/internal/platform"
 	"github.com/pimentohinge/pimentohinge/internal/service"
 	"github.com/pimentohinge/pimentohinge/internal/settings"
@@ -360,6 +361,11 @@
 	case <-t.C:
 	}
 	v.tell(control.Stop{})
+	if planted.Is(planted.StopCutsOff) {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithCancel(ctx)
+		cancel()
+	}
 	whole := v.callers.Drain(ctx)
 	open := v.callers.Open()
 	v.flushIncidents()
--- a/test/faults/fleet_test.go
+++ b/test/faults/fleet_test.go
@@ -50,10 +50,26 @@
 // world is a fleet on virtual time with what a test needs to break it.
 type world struct {
 	*fleet.Fleet
-	t   *testing.T
 	ctx context.Context
 	net *pipenet.Fabric
-	log *strings.Builder
+
+	mu       sync.Mutex
+	failures []string
+}
+
+// errorf records that a check failed.
+func (w *world) errorf(format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.failures = append(w.failures, fmt.Sprintf(format, args...))
+}
+
+// stop ends a test early after a failed check.
+type stop struct{}
+
+func (w *world) fatalf(format string, args ...any) {
+	w.errorf(format, args...)
+	panic(stop{})
 }
 
 // twoCentres is the layout of most tests.
@@ -66,9 +82,17 @@
 
 // inWorld runs a test on a configured fleet. Broken invariants fail the test.
 func inWorld(t *testing.T, change func(*fleet.Options), test func(w *world)) {
+	t.Helper()
+	for _, f := range runWorld(t, change, test) {
+		t.Error(f)
+	}
+}
+
+// runWorld runs a test on a configured fleet and returns the checks that failed.
+func runWorld(t *testing.T, change func(*fleet.Options), test func(w *world)) (failures []string) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		w := &world{t: t, ctx: t.Context(), net: pipenet.New(), log: &strings.Builder{}}
+		w := &world{ctx: t.Context(), net: pipenet.New()}
 		w.net.Delay = func(_, _ string) time.Duration { return 200 * time.Microsecond }
 		o := fleet.Options{Hosts: w.net, DataCentres: twoCentres(), Log: logline.New(io.Discard, "error")}
 		if change != nil {
@@ -79,22 +103,31 @@
 			t.Fatal(err)
 		}
 		w.Fleet = f
-		defer w.end()
 		defer func() {
+			if r := recover(); r != nil && r != (stop{}) {
+				panic(r)
+			}
+			w.end()
+			failures = w.failures
 			for _, v := range broken.take() {
-				t.Error(v.Error())
+				failures = append(failures, v.Error())
 			}
 		}()
-		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
-		defer cancel()
-		if err := f.AwaitReady(ctx); err != nil {
-			t.Fatal(err)
-		}
-		if err := f.Configure(ctx); err != nil {
-			t.Fatal(err)
-		}
+		w.configure()
 		test(w)
 	})
+	return failures
+}
+
+func (w *world) configure() {
+	ctx, cancel := context.WithTimeout(w.ctx, time.Minute)
+	defer cancel()
+	if err := w.AwaitReady(ctx); err != nil {
+		w.fatalf("%v", err)
+	}
+	if err := w.Configure(ctx); err != nil {
+		w.fatalf("%v", err)
+	}
 }
 
 // end kills the fleet and lets every goroutine finish, as virtual time stands
@@ -112,23 +145,21 @@
 	err  error
 }
 
-// stream asks for a report of a length through some VMs. at is called for each
-// token; it may be nil.
-func (w *world) stream(length int, at func(index int), vms ...int) answer {
+// stream asks for a report of a length through some VMs.
+func (w *world) stream(length int, vms ...int) answer {
 	var a answer
 	var text strings.Builder
 	next := 0
-	a.Result, a.err = w.Client(vms...).Stream(w.ctx, client.Completion{
+	ctx, cancel := context.WithTimeout(w.ctx, time.Minute)
+	defer cancel()
+	a.Result, a.err = w.Client(vms...).Stream(ctx, client.Completion{
 		Model: fleet.ServiceReports, Prompt: fmt.Sprintf("Draft a report, length=%d", length),
 	}, func(t client.Token) error {
 		if t.Index != next {
-			w.t.Errorf("token %d came in place of %d", t.Index, next)
+			w.errorf("token %d came in place of %d", t.Index, next)
 		}
 		next++
 		text.WriteString(t.Text)
-		if at != nil {
-			at(t.Index)
-		}
 		return nil
 	})
 	a.text = text.String()
@@ -157,9 +188,9 @@
 
 func TestStreamArrivesWhole(t *testing.T) {
 	inWorld(t, nil, func(w *world) {
-		a := w.stream(300, nil, 0)
+		a := w.stream(300, 0)
 		if a.err != nil || a.Tokens != 300 || !oneGeneration(a.RequestID, a.text, 300) {
-			t.Fatalf("got %d tokens, error %v", a.Tokens, a.err)
+			w.errorf("got %d tokens, error %v", a.Tokens, a.err)
 		}
 	})
 }
@@ -169,7 +200,9 @@
 
 // buffered asks VM 0 for a report that is not streamed.
 func (w *world) buffered(length int) (wholeAnswer, error) {
-	r, err := w.Client(0).Complete(w.ctx, client.Completion{
+	ctx, cancel := context.WithTimeout(w.ctx, time.Minute)
+	defer cancel()
+	r, err := w.Client(0).Complete(ctx, client.Completion{
 		Model: fleet.ServiceReports, Prompt: fmt.Sprintf("Draft a report, length=%d", length),
 	})
 	return wholeAnswer{r.RequestID, r.Text}, err
--- a/test/faults/matrix_test.go
+++ b/test/faults/matrix_test.go
@@ -28,7 +28,7 @@
 
 func (w *world) restart(i int) {
 	if err := w.Restart(i); err != nil {
-		w.t.Errorf("restart: %v", err)
+		w.errorf("restart: %v", err)
 	}
 }
 
@@ -78,7 +78,7 @@
 // mustFinish fails the test when the cell demands a whole answer.
 func (c cell) mustFinish(w *world, err error) {
 	if err != nil && c.expect == finishes {
-		w.t.Errorf("did not finish: %v", err)
+		w.errorf("did not finish: %v", err)
 	}
 }
 
@@ -96,20 +96,20 @@
 func (w *world) checkRefusal(err error) {
 	var refused *client.Error
 	if errors.As(err, &refused) && refused.Outcome == "notRun" && w.started() != 0 {
-		w.t.Errorf("said not to run but %d generations were started: %v", w.started(), err)
+		w.errorf("said not to run but %d generations were started: %v", w.started(), err)
 	}
 }
 
 func liveStream(w *world, c cell) {
 	w.strike(c)
-	a := w.stream(reportTokens, nil, 0, 1, 2)
+	a := w.stream(reportTokens, 0, 1, 2)
 	c.mustFinish(w, a.err)
 	w.checkRefusal(a.err)
 	if a.err == nil && a.Tokens != reportTokens {
-		w.t.Errorf("finished with %d tokens", a.Tokens)
+		w.errorf("finished with %d tokens", a.Tokens)
 	}
 	if a.Tokens > 0 && !oneGeneration(a.RequestID, a.text, a.Tokens) {
-		w.t.Errorf("the tokens are not of one generation")
+		w.errorf("the tokens are not of one generation")
 	}
 	w.recovers()
 }
@@ -120,7 +120,7 @@
 	c.mustFinish(w, err)
 	w.checkRefusal(err)
 	if err == nil && !oneGeneration(body.request, body.text, reportTokens) {
-		w.t.Errorf("the answer is not one whole generation: %q", body.text)
+		w.errorf("the answer is not one whole generation: %q", body.text)
 	}
 	w.recovers()
 }
@@ -129,9 +129,9 @@
 // no fault touches alone.
 func (w *world) recovers() {
 	time.Sleep(faultTime + settled)
-	a := w.stream(20, nil, 2, 3)
+	a := w.stream(20, 2, 3)
 	if a.err != nil || a.Tokens != 20 {
-		w.t.Errorf("the fleet did not recover: %d tokens, %v", a.Tokens, a.err)
+		w.errorf("the fleet did not recover: %d tokens, %v", a.Tokens, a.err)
 	}
 }
 
@@ -152,6 +152,12 @@
 	return "connectionLost"
 }
 
+// platformOut reports whether the refusal only speaks of this attempt.
+func (r tagResult) platformOut() bool {
+	var refused *client.Error
+	return errors.As(r.err, &refused) && refused.Cause == "platformOut"
+}
+
 func (w *world) runs() int {
 	n := 0
 	for _, l := range w.Ledgers {
@@ -170,7 +176,7 @@
 	if ticket {
 		t, err := w.Client(0).Ticket(w.ctx)
 		if err != nil {
-			w.t.Fatal(err)
+			w.fatalf("%v", err)
 		}
 		call.Ticket = t
 	} else {
@@ -189,12 +195,12 @@
 	for _, r := range []tagResult{first, second} {
 		if r.err == nil && last.err == nil {
 			if diff := cmp.Diff(string(r.answer.Body), string(last.answer.Body)); diff != "" {
-				w.t.Errorf("answers differ:\n%s", diff)
+				w.errorf("answers differ:\n%s", diff)
 			}
 		}
 	}
 	if last.outcome() == "notRun" && w.runs() == 0 && !ticket {
-		w.t.Errorf("the call neither ran nor can it run: %v", last.err)
+		w.errorf("the call neither ran nor can it run: %v", last.err)
 	}
 }
 
@@ -207,11 +213,13 @@
 	n := w.runs()
 	switch {
 	case n > 1:
-		w.t.Errorf("%s: ran %d times", when, n)
+		w.errorf("%s: ran %d times", when, n)
 	case r.err == nil && r.answer.Status != http.StatusCreated:
-		w.t.Errorf("%s: status %d", when, r.answer.Status)
+		w.errorf("%s: status %d", when, r.answer.Status)
+	case r.outcome() == "notRun" && n != 0 && !r.platformOut():
+		w.errorf("%s: said not to run but ran: %v", when, r.err)
 	case r.err == nil && n != 1:
-		w.t.Errorf("%s: answered but ran %d times", when, n)
+		w.errorf("%s: answered but ran %d times", when, n)
 	}
 }
 
@@ -236,12 +244,12 @@
 	time.Sleep(18 * time.Second)
 	fresh, err := w.AddVM(twoCentres()[0])
 	if err != nil {
-		w.t.Fatal(err)
+		w.fatalf("%v", err)
 	}
 	time.Sleep(settled)
 	for _, v := range append(append([]*fleet.VM{}, w.VMs...), fresh) {
 		if got := v.State(); got.Number != base+1 || got.Workspaces[fleet.OtherWorkspace].Weight != 7 {
-			w.t.Errorf("%s has revision %d, weight %d", v.Self().Name, got.Number, got.Workspaces[fleet.OtherWorkspace].Weight)
+			w.errorf("%s has revision %d, weight %d", v.Self().Name, got.Number, got.Workspaces[fleet.OtherWorkspace].Weight)
 		}
 	}
 }
@@ -256,13 +264,13 @@
 	}
 	switch {
 	case stored > 1:
-		w.t.Errorf("the note is in the chain %d times", stored)
+		w.errorf("the note is in the chain %d times", stored)
 	case r.Status == operator.ReleaseAccepted && stored != 1:
-		w.t.Errorf("accepted but %d times in the chain", stored)
+		w.errorf("accepted but %d times in the chain", stored)
 	case r.Status == operator.ReleasePlatformOut && stored != 0:
-		w.t.Errorf("said not to be accepted but is in the chain")
+		w.errorf("said not to be accepted but is in the chain")
 	case r.Status == operator.ReleaseConflict || r.Status == operator.ReleaseInvalid:
-		w.t.Errorf("refused: %v", r)
+		w.errorf("refused: %v", r)
 	}
 }
 
--- a/test/faults/table_test.go
+++ b/test/faults/table_test.go
@@ -73,6 +73,11 @@
 			w.net.Reset(w.VMs[0].Host, e.Host)
 		}
 	}, nil},
+	{"connectionsStuck", "present connections to engines carry no data any more", func(w *world) {
+		for _, e := range w.Engines {
+			w.net.Stick(w.VMs[0].Host, e.Host)
+		}
+	}, nil},
 	{"engineLinkCut", "the link to engines carries no data", func(w *world) {
 		for _, e := range w.Engines {
 			w.both(w.VMs[0].Host, e.Host)
@@ -214,7 +219,7 @@
 // they come alone.
 var survivors = map[string]bool{
 	"engineLeaving": true, "streamsStall": true, "tokenSkipped": true, "tokenRepeated": true, "streamCut": true,
-	"engineLinkReset": true, "peerKilled": true, "peersCut": true, "peersOneWay": true, "centreCut": true,
+	"engineLinkReset": true, "connectionsStuck": true, "peerKilled": true, "peersCut": true, "peersOneWay": true, "centreCut": true,
 	"platformOut": true, "platformSlow": true, "platformSilent": true, "answersLost": true, "platformCut": true,
 	"vmStopped": true,
 }
