engine: open streams on connections of their own

Cause: the HTTP transport keeps two goroutines and two buffers for each stream.

Change: the engine client dials, writes the request and reads the response with net/http's own functions, without the transport. The pipe network now delivers what was written before a close, as TCP does; a test first failed on that (streams lost at their last token).

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -3,29 +3,39 @@
 package engine
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
 
+	"github.com/rotisserie/eris"
+
+	"github.com/pimentohinge/pimentohinge/internal/network"
 	"github.com/pimentohinge/pimentohinge/internal/outcome"
 	"github.com/pimentohinge/pimentohinge/pkg/wire"
 )
 
 const (
-	callTimeout    = 2 * time.Second
-	maxReportBytes = 1 << 20
+	callTimeout     = 2 * time.Second
+	dialTimeout     = time.Second
+	maxReportBytes  = 1 << 20
+	connBufferBytes = 1024
 )
 
 // Client calls engines. It is safe for concurrent use.
-type Client struct{ http *http.Client }
+type Client struct {
+	network network.Network
+	http    *http.Client
+}
 
-// New returns a client that uses h, which must not follow proxies.
-func New(h *http.Client) *Client { return &Client{http: h} }
+// New returns a client over a network.
+func New(n network.Network) *Client { return &Client{network: n, http: network.Client(n)} }
 
 // Start begins a generation and returns its stream. The stream counts as
 // stalled when nothing arrives for silence. When no stream is returned, the
@@ -45,16 +55,22 @@
 	return s, cause
 }
 
+// open sends a request on a connection of its own and returns its stream. The
+// HTTP transport would keep two goroutines and two buffers for each stream.
 func (c *Client) open(ctx context.Context, method, u string, body []byte, generation string, index int, silence time.Duration) (s *Stream, cause outcome.Cause, ran bool) {
-	ctx, cancel := context.WithCancel(ctx)
-	w := newWatchdog(silence, cancel)
 	req, err := http.NewRequestWithContext(ctx, method, u, bytes.NewReader(body))
 	if err != nil {
-		w.stop()
 		return nil, outcome.BadRequest, false
 	}
-	req.GetBody = nil
-	resp, err := c.http.Do(req)
+	req.Close = true
+	dialCtx, cancel := context.WithTimeout(ctx, min(silence, dialTimeout))
+	conn, err := c.network.Dial(dialCtx, req.URL.Host)
+	cancel()
+	if err != nil {
+		return nil, outcome.EngineLost, false
+	}
+	w := newWatchdog(ctx, silence, conn)
+	resp, err := exchange(conn, req)
 	if err != nil {
 		stalled := w.expired()
 		w.stop()
@@ -71,6 +87,14 @@
 	return newStream(resp.Body, generation, index, w), outcome.None, true
 }
 
+func exchange(conn net.Conn, req *http.Request) (*http.Response, error) {
+	if err := req.Write(conn); err != nil {
+		return nil, eris.Wrap(err, "write request")
+	}
+	resp, err := http.ReadResponse(bufio.NewReaderSize(conn, connBufferBytes), req)
+	return resp, eris.Wrap(err, "read response")
+}
+
 func refusal(resp *http.Response) outcome.Cause {
 	var r struct {
 		Cause string `json:"cause"`
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -5,7 +5,9 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
+	"net"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -14,8 +16,12 @@
 	"github.com/pimentohinge/pimentohinge/internal/planted"
 )
 
-// readBufferBytes bounds one line of a stream.
-const readBufferBytes = 4096
+const (
+	// readBufferBytes is small because streams are many; the transport has a buffer too.
+	readBufferBytes = 512
+	// maxLineBytes bounds one line of a stream.
+	maxLineBytes = 64 << 10
+)
 
 var (
 	idField    = []byte("id: ")
@@ -117,11 +123,10 @@
 	*e = event{}
 	s.text = s.text[:0]
 	for {
-		line, err := s.r.ReadSlice('\n')
-		if err != nil {
+		line, ok := s.line()
+		if !ok {
 			return false
 		}
-		line = bytes.TrimRight(line, "\r\n")
 		switch {
 		case len(line) == 0:
 			return true
@@ -135,6 +140,38 @@
 	}
 }
 
+// line returns the next line without its end. It stays valid until the next
+// call.
+func (s *Stream) line() ([]byte, bool) {
+	line, err := s.r.ReadSlice('\n')
+	if errors.Is(err, bufio.ErrBufferFull) {
+		line, err = s.longLine(line)
+	}
+	if err != nil {
+		return nil, false
+	}
+	line = line[:len(line)-1]
+	if n := len(line); n > 0 && line[n-1] == '\r' {
+		line = line[:n-1]
+	}
+	return line, true
+}
+
+// longLine reads on a line that is longer than the buffer.
+func (s *Stream) longLine(begin []byte) ([]byte, error) {
+	whole := append([]byte(nil), begin...)
+	for {
+		part, err := s.r.ReadSlice('\n')
+		whole = append(whole, part...)
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return whole, err
+		}
+		if len(whole) > maxLineBytes {
+			return nil, err
+		}
+	}
+}
+
 // keep copies b, because the next line overwrites the reader's buffer.
 func (s *Stream) keep(b []byte) []byte {
 	start := len(s.text)
@@ -179,23 +216,25 @@
 	return End{Cause: outcome.EngineLost}
 }
 
-// watchdog cancels a call after a silence.
+// watchdog closes a connection after a silence or when the call is cancelled.
 type watchdog struct {
 	silence time.Duration
 	timer   *time.Timer
-	cancel  context.CancelFunc
+	conn    net.Conn
+	unbind  func() bool
 	fired   atomic.Bool
 }
 
-func newWatchdog(silence time.Duration, cancel context.CancelFunc) *watchdog {
-	w := &watchdog{silence: silence, cancel: cancel}
+func newWatchdog(ctx context.Context, silence time.Duration, conn net.Conn) *watchdog {
+	w := &watchdog{silence: silence, conn: conn}
 	w.timer = time.AfterFunc(silence, func() {
 		if planted.Is(planted.StallUnseen) {
 			return
 		}
 		w.fired.Store(true)
-		cancel()
+		_ = conn.Close()
 	})
+	w.unbind = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	return w
 }
 
@@ -204,5 +243,6 @@
 
 func (w *watchdog) stop() {
 	w.timer.Stop()
-	w.cancel()
+	w.unbind()
+	_ = w.conn.Close()
 }
--- a/internal/network/network.go
+++ b/internal/network/network.go
@@ -19,7 +19,7 @@
 
 const (
 	dialTimeout  = time.Second
-	bufferBytes  = 2048
+	bufferBytes  = 1024
 	maxIdle      = 64
 	idleLifetime = 30 * time.Second
 )
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,101 @@
+package settings_test
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/pimentohinge/pimentohinge/internal/settings"
+)
+
+const good = `{
+	"vm": {"name": "walsall-a-entry-1", "region": "walsall-a", "dataCentre": "walsall-a-1"},
+	"listen": {"callers": "127.0.0.1:7001", "peers": "127.0.0.1:7002", "operators": "127.0.0.1:7003"},
+	"platform": {"address": "http://127.0.0.1:7100"},
+	"peers": {"key": "0123456789abcdef"},
+	"operators": {"keys": [{"name": "o", "key": "12345678"}]}
+}`
+
+func TestGoodSettingsKeepDefaults(t *testing.T) {
+	s, err := settings.Parse("f", []byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(settings.Defaults().Callers, s.Callers); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestExamplesAreGood(t *testing.T) {
+	files, err := filepath.Glob("../../examples/*/*entry*.json")
+	if err != nil || len(files) != 12 {
+		t.Fatalf("%d examples, %v", len(files), err)
+	}
+	for _, f := range files {
+		if _, err := settings.Load(f); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+func TestEveryFaultIsReportedAtOnce(t *testing.T) {
+	for _, c := range []struct {
+		name, from, to string
+		want           []string
+	}{
+		{"unknownKey", `"platform"`, `"plattform"`, []string{"plattform", "platform.address"}},
+		{"wrongType", `"127.0.0.1:7001"`, `7001`, []string{"listen.callers"}},
+		{"noIP", `127.0.0.1:7001`, `localhost:7001`, []string{"listen.callers"}},
+		{"sameAddress", `7002`, `7001`, []string{"listen.callers"}},
+		{"notLoopback", `127.0.0.1:7003`, `10.0.0.1:7003`, []string{"listen.operators"}},
+		{"shortKey", `0123456789abcdef`, `short`, []string{"peers.key"}},
+		{"badName", `"walsall-a-entry-1"`, `"Walsall A"`, []string{"vm.name"}},
+		{"badURL", `http://127.0.0.1:7100`, `ftp://x`, []string{"platform.address"}},
+		{"empty", good, `{}`, []string{
+			"vm.name", "vm.region", "vm.dataCentre", "listen.callers", "listen.peers",
+			"listen.operators", "platform.address", "peers.key", "operators.keys",
+		}},
+		{"notJSON", good, `{`, []string{
+			"", "vm.name", "vm.region", "vm.dataCentre", "listen.callers", "listen.peers",
+			"listen.operators", "platform.address", "peers.key", "operators.keys",
+		}},
+		{"impossible", `"platform": {`, `"policy": {"objective": "speed", "retryPercent": 200}, "platform": {`, []string{"policy.objective", "policy.retryPercent"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := settings.Parse("f.json", []byte(strings.Replace(good, c.from, c.to, 1)))
+			var p *settings.Problems
+			if !errors.As(err, &p) {
+				t.Fatalf("accepted: %v", err)
+			}
+			var keys []string
+			for _, x := range p.List {
+				keys = append(keys, x.Key)
+				if x.Reason == "" {
+					t.Errorf("%s has no reason", x.Key)
+				}
+			}
+			if diff := cmp.Diff(c.want, keys); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(good))
+	example, err := os.ReadFile("../../examples/harbottle/walsall-a-entry-1.json")
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(example)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := settings.Parse("f", data)
+		if err == nil && (s.VM.Name == "" || s.Listen.Callers == "") {
+			t.Error("accepted without a name or an address")
+		}
+	})
+}
--- a/internal/standin/pipenet/pipenet.go
+++ b/internal/standin/pipenet/pipenet.go
@@ -33,7 +33,7 @@
 
 	mu        sync.Mutex
 	listeners map[string]*listener
-	conns     map[*conn]bool
+	pairs     map[*pair]bool
 	cuts      map[[2]string]bool
 	changed   chan struct{} // closed and replaced when cuts change
 	ports     int
@@ -42,7 +42,7 @@
 // New returns a fabric without hosts.
 func New() *Fabric {
 	return &Fabric{
-		listeners: map[string]*listener{}, conns: map[*conn]bool{},
+		listeners: map[string]*listener{}, pairs: map[*pair]bool{},
 		cuts: map[[2]string]bool{}, changed: make(chan struct{}),
 	}
 }
@@ -93,7 +93,7 @@
 
 // Crash closes every listener and connection of a host.
 func (f *Fabric) Crash(host string) {
-	f.closeWhere(func(c *conn) bool { return c.local == host || c.remote == host })
+	f.abortWhere(func(p *pair) bool { return p.hosts[0] == host || p.hosts[1] == host })
 	f.mu.Lock()
 	var gone []*listener
 	for addr, l := range f.listeners {
@@ -112,31 +112,29 @@
 func (f *Fabric) Stick(a, b string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for c := range f.conns {
-		if (c.local == a && c.remote == b) || (c.local == b && c.remote == a) {
-			c.stuck.Store(true)
+	for p := range f.pairs {
+		if p.between(a, b) {
+			p.stuck.Store(true)
 		}
 	}
 }
 
 // Reset closes the connections between two hosts, as a broken link would.
 func (f *Fabric) Reset(a, b string) {
-	f.closeWhere(func(c *conn) bool {
-		return (c.local == a && c.remote == b) || (c.local == b && c.remote == a)
-	})
+	f.abortWhere(func(p *pair) bool { return p.between(a, b) })
 }
 
-func (f *Fabric) closeWhere(match func(*conn) bool) {
+func (f *Fabric) abortWhere(match func(*pair) bool) {
 	f.mu.Lock()
-	var found []*conn
-	for c := range f.conns {
-		if match(c) {
-			found = append(found, c)
+	var found []*pair
+	for p := range f.pairs {
+		if match(p) {
+			found = append(found, p)
 		}
 	}
 	f.mu.Unlock()
-	for _, c := range found {
-		_ = c.Close()
+	for _, p := range found {
+		p.abort()
 	}
 }
 
@@ -239,49 +237,59 @@
 func (address) Network() string  { return "pipe" }
 func (a address) String() string { return string(a) }
 
-// conn is one end of a connection.
+// pair is a connection between two hosts.
+type pair struct {
+	hosts [2]string
+	// ends are the four ends of the two pipes: the applications' and the pumps'.
+	ends    [4]net.Conn
+	aborted chan struct{}
+	once    sync.Once
+	stuck   atomic.Bool
+	pumps   sync.WaitGroup
+}
+
+// abort breaks the connection; data under way is lost.
+func (p *pair) abort() {
+	p.once.Do(func() {
+		close(p.aborted)
+		for _, e := range p.ends {
+			_ = e.Close()
+		}
+	})
+}
+
+func (p *pair) between(a, b string) bool {
+	return p.hosts == [2]string{a, b} || p.hosts == [2]string{b, a}
+}
+
+// conn is one application's end of a connection. Closing it lets data that was
+// written before arrive.
 type conn struct {
 	net.Conn
-	f             *Fabric
 	local, remote string
-	closed        chan struct{}
-	once          *sync.Once
-	stuck         *atomic.Bool
-	wires         [2]net.Conn // ends that the pumps use, closed with the connection
 }
 
 func (c *conn) LocalAddr() net.Addr  { return address(c.local + ":0") }
 func (c *conn) RemoteAddr() net.Addr { return address(c.remote + ":0") }
 
-// Close ends both ends at once, as data under way need not arrive.
-func (c *conn) Close() error {
-	err := c.Conn.Close()
-	c.once.Do(func() {
-		close(c.closed)
-		for _, w := range c.wires {
-			_ = w.Close()
-		}
-	})
-	c.f.mu.Lock()
-	defer c.f.mu.Unlock()
-	delete(c.f.conns, c)
-	return err
-}
-
 // connect makes a connection with a pump for each direction.
 func (f *Fabric) connect(a, b string) (near, far *conn) {
 	nearApp, nearWire := net.Pipe()
 	farApp, farWire := net.Pipe()
-	closed, once, stuck := make(chan struct{}), &sync.Once{}, &atomic.Bool{}
-	wires := [2]net.Conn{nearWire, farWire}
-	near = &conn{Conn: nearApp, f: f, local: a, remote: b, closed: closed, once: once, stuck: stuck, wires: wires}
-	far = &conn{Conn: farApp, f: f, local: b, remote: a, closed: closed, once: once, stuck: stuck, wires: wires}
+	p := &pair{hosts: [2]string{a, b}, ends: [4]net.Conn{nearApp, nearWire, farApp, farWire}, aborted: make(chan struct{})}
 	f.mu.Lock()
-	f.conns[near], f.conns[far] = true, true
+	f.pairs[p] = true
 	f.mu.Unlock()
-	f.pump(a, b, nearWire, farWire, near)
-	f.pump(b, a, farWire, nearWire, far)
-	return near, far
+	p.pumps.Add(2)
+	go f.pump(p, a, b, nearWire, farWire)
+	go f.pump(p, b, a, farWire, nearWire)
+	go func() {
+		p.pumps.Wait()
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		delete(f.pairs, p)
+	}()
+	return &conn{Conn: nearApp, local: a, remote: b}, &conn{Conn: farApp, local: b, remote: a}
 }
 
 type chunk struct {
@@ -289,7 +297,7 @@
 	due  time.Time
 }
 
-func sleepUntil(t time.Time, closed <-chan struct{}) bool {
+func sleepUntil(t time.Time, done <-chan struct{}) bool {
 	d := time.Until(t)
 	if d <= 0 {
 		return true
@@ -299,60 +307,66 @@
 	select {
 	case <-timer.C:
 		return true
-	case <-closed:
+	case <-done:
 		return false
 	}
 }
 
-// Close closes every connection and listener.
-func (f *Fabric) Close() {
-	f.closeWhere(func(*conn) bool { return true })
-	f.mu.Lock()
-	listeners := slices.Collect(maps.Values(f.listeners))
-	f.mu.Unlock()
-	for _, l := range listeners {
-		_ = l.Close()
+// pump carries data in one direction until its writer has closed and all has
+// arrived, its reader has closed, or the connection is aborted.
+func (f *Fabric) pump(p *pair, from, to string, src, dst net.Conn) {
+	defer p.pumps.Done()
+	queue := make(chan chunk, windowChunks)
+	gone := make(chan struct{})
+	go f.read(p, from, to, src, queue, gone)
+	defer close(gone)
+	defer func() { _ = dst.Close() }()
+	for c := range queue {
+		if !sleepUntil(c.due, p.aborted) || !f.await(from, to, p.aborted) {
+			return
+		}
+		if p.stuck.Load() {
+			<-p.aborted
+			return
+		}
+		if _, err := dst.Write(c.data); err != nil {
+			return
+		}
 	}
 }
 
-// pump carries data in one direction until either end is closed.
-func (f *Fabric) pump(from, to string, src, dst net.Conn, of *conn) {
-	closed := of.closed
-	queue := make(chan chunk, windowChunks)
+// read takes data from a writer into the queue.
+func (f *Fabric) read(p *pair, from, to string, src net.Conn, queue chan<- chunk, gone <-chan struct{}) {
+	defer close(queue)
 	var delay time.Duration
 	if f.Delay != nil {
 		delay = f.Delay(from, to)
 	}
-	go func() {
-		defer close(queue)
-		for {
-			buf := make([]byte, chunkBytes)
-			n, err := src.Read(buf)
-			if n > 0 {
-				select {
-				case queue <- chunk{data: buf[:n], due: time.Now().Add(delay)}:
-				case <-closed:
-					return
-				}
-			}
-			if err != nil {
-				return
-			}
-		}
-	}()
-	go func() {
-		defer func() { _ = dst.Close() }()
-		for c := range queue {
-			if !sleepUntil(c.due, closed) || !f.await(from, to, closed) {
-				return
-			}
-			if of.stuck.Load() {
-				<-closed
+	for {
+		buf := make([]byte, chunkBytes)
+		n, err := src.Read(buf)
+		if n > 0 {
+			select {
+			case queue <- chunk{data: buf[:n], due: time.Now().Add(delay)}:
+			case <-gone:
 				return
-			}
-			if _, err := dst.Write(c.data); err != nil {
+			case <-p.aborted:
 				return
 			}
 		}
-	}()
+		if err != nil {
+			return
+		}
+	}
+}
+
+// Close breaks every connection and closes every listener.
+func (f *Fabric) Close() {
+	f.abortWhere(func(*pair) bool { return true })
+	f.mu.Lock()
+	listeners := slices.Collect(maps.Values(f.listeners))
+	f.mu.Unlock()
+	for _, l := range listeners {
+		_ = l.Close()
+	}
 }
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -102,7 +102,7 @@
 		incarnation: int(time.Now().UnixMilli()),
 		messages:    make(chan control.Message, messageQueue),
 		platform:    platform.New(s.Platform.Address, client),
-		engines:     engine.New(client),
+		engines:     engine.New(o.Network),
 		incidents:   incident.New(s.VM.Name, maxTimelines),
 		registry:    prometheus.NewRegistry(),
 		places:      map[string]chan placeAnswer{},
