caller: relay streams outside the HTTP server's goroutine

Cause: an open stream cost 45.5 KB; 19 KB of it were stacks of net/http's goroutines and 10 KB its buffers, which a running handler holds.

Change: once an engine has begun to answer, the connection is taken from the server (Hijack), the handler returns, and one small goroutine writes chunks itself. A caller that leaves is noticed at the next write, before that by the server as before.

Ruled out: a second goroutine below the handler (adds a stack and frees nothing).

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -75,6 +75,8 @@
 	open    tracker
 	metrics *Metrics
 	parked  parking
+	// detached are connections whose streams outlive their handlers.
+	detached connections
 }
 
 // New returns a server.
@@ -151,7 +153,8 @@
 	timeline  *incident.Timeline
 	model     modelRequest
 	plain     plainCall
-	started   bool // the answer's head was sent
+	started   bool      // the answer's head was sent
+	detached  *detached // set when the stream goes on after its handler
 }
 
 const requestIDBytes = 10
@@ -167,7 +170,6 @@
 func (s *Server) serve(f format, filters []filter) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		s.open.add()
-		defer s.open.done()
 		c := &call{w: w, r: r, format: f, id: newRequestID(s.opts.VM), received: time.Now(), state: s.opts.Broker.State()}
 		w.Header().Set("X-Request-Id", c.id)
 		o := outcome.Done(0)
@@ -177,7 +179,10 @@
 				break
 			}
 		}
-		s.account(c, o)
+		if c.detached == nil {
+			s.account(c, o)
+			s.open.done()
+		}
 	}
 }
 
--- a/internal/caller/relay.go
+++ b/internal/caller/relay.go
@@ -29,54 +29,143 @@
 type generate struct{ s *Server }
 
 func (f generate) pass(c *call) (outcome.Outcome, bool) {
-	var out sink = &bufferSink{c: c}
-	if c.model.stream {
-		out = newStreamSink(c, c.format == formatChat)
+	j := &job{s: f.s, c: c, place: control.Place{
+		ID: c.id, Workspace: c.workspace.Name, Service: c.service.Name, Class: c.model.class,
+		PromptTokens: c.model.promptTokens, MaxTokens: c.model.maxTokens, Prefix: c.model.prefixHash(),
+	}}
+	if !c.model.stream {
+		j.out = &bufferSink{c: c}
+		return j.run(), false
 	}
-	o := f.s.generate(c, out)
+	j.out = newStreamSink(c, c.format == formatChat)
+	r, stream, o := j.begin()
+	if stream != nil {
+		stream.Await()
+		if f.s.goOn(c, stream, func() outcome.Outcome { return j.finish(r, stream) }) {
+			return outcome.Outcome{}, false
+		}
+		o = j.finish(r, stream)
+	}
+	return failStream(c, j.out, o), false
+}
+
+// failStream tells a caller whose stream has begun why it ended early.
+func failStream(c *call, out sink, o outcome.Outcome) outcome.Outcome {
 	if s, streaming := out.(*streamSink); streaming && o.Cause != outcome.None {
 		s.fail(c.id, o)
 	}
-	return o, false
+	return o
 }
 
-// generate places the request and relays its answer, on another engine when
-// the first one fails and nothing was delivered yet.
-func (s *Server) generate(c *call, out sink) outcome.Outcome {
-	p := control.Place{
-		ID: c.id, Workspace: c.workspace.Name, Service: c.service.Name, Class: c.model.class,
-		PromptTokens: c.model.promptTokens, MaxTokens: c.model.maxTokens, Prefix: c.model.prefixHash(),
+// goOn relays the rest of a stream in a goroutine of its own, so that the HTTP
+// server's memory for the connection is freed. It reports whether it could.
+func (s *Server) goOn(c *call, stream *engine.Stream, rest func() outcome.Outcome) bool {
+	if c.r.Context().Err() != nil {
+		return false
+	}
+	c.detached = s.detach(c)
+	if c.detached == nil {
+		return false
+	}
+	stream.Bind(c.r.Context())
+	go func() {
+		defer s.open.done()
+		o := rest()
+		if o.Cause != outcome.None && c.started {
+			body := problemOf(c.id, o)
+			writeStreamError(c, body)
+		}
+		s.account(c, o)
+		c.detached.end()
+		s.detached.remove(c.detached.conn)
+	}()
+	return true
+}
+
+// job is a model request with the attempts that it takes.
+type job struct {
+	s       *Server
+	c       *call
+	out     sink
+	place   control.Place
+	attempt int
+	first   outcome.Outcome // of the attempt before
+	ran     bool            // an engine may have begun
+}
+
+// run makes attempts until the request ends.
+func (j *job) run() outcome.Outcome {
+	r, stream, o := j.begin()
+	if stream == nil {
+		return o
 	}
-	first := outcome.Outcome{}
-	ran := false
-	for attempt := 1; ; attempt++ {
-		p.Deadline = time.Now().Add(time.Duration(s.opts.Limits.WaitMs) * time.Millisecond)
-		placed, o, events := s.opts.Broker.Place(c.r.Context(), p)
+	return j.finish(r, stream)
+}
+
+// begin places the request and starts a generation, on another engine when one
+// refuses. Without a stream the outcome is final.
+func (j *job) begin() (*relay, *engine.Stream, outcome.Outcome) {
+	for {
+		j.attempt++
+		j.place.Deadline = time.Now().Add(time.Duration(j.s.opts.Limits.WaitMs) * time.Millisecond)
+		placed, o, events := j.s.opts.Broker.Place(j.c.r.Context(), j.place)
 		for _, e := range events {
-			c.timeline.Add(e)
+			j.c.timeline.Add(e)
 		}
 		if o.Cause != outcome.None {
-			return afterFailure(first, o)
+			return nil, nil, j.truthful(afterFailure(j.first, o))
 		}
-		r := s.newRelay(c, out, placed, attempt)
-		o = r.start()
-		ran = ran || r.ran
-		if ran && o.Kind == outcome.NotRun && !planted.Is(planted.RefusalWithoutCheck) {
-			// An earlier attempt did run on an engine, if in vain.
-			o.Kind = outcome.Interrupted
+		r := j.s.newRelay(j.c, j.out, placed, j.attempt)
+		stream, o := r.start()
+		if stream != nil {
+			j.ran = true
+			return r, stream, outcome.Outcome{}
+		}
+		if !j.again(r, o) {
+			return nil, nil, j.truthful(o)
+		}
+	}
+}
+
+// finish relays a generation and, while nothing was delivered, starts others in
+// its place.
+func (j *job) finish(r *relay, stream *engine.Stream) outcome.Outcome {
+	for {
+		o := r.run(stream)
+		if !j.again(r, o) {
+			return j.truthful(o)
 		}
-		again := retriable(o) && (out.restartable() || planted.Is(planted.RestartMidStream)) && attempt < maxAttempts && c.r.Context().Err() == nil
-		s.opts.Broker.Ended(control.Ended{ID: c.id, Tokens: r.next, Outcome: o, Last: !again})
-		if !again {
+		if r, stream, o = j.begin(); stream == nil {
 			return o
 		}
-		first = o
-		p.Retry = true
-		p.Excluded = append(p.Excluded, placed.Backend.Name)
-		c.timeline.Add(wire.Event{Kind: incident.EventRestarted, Engine: placed.Backend.Name, Cause: string(o.Cause)})
 	}
 }
 
+// truthful keeps an outcome from saying that nothing ran when an earlier attempt
+// did run on an engine, if in vain.
+func (j *job) truthful(o outcome.Outcome) outcome.Outcome {
+	if j.ran && o.Kind == outcome.NotRun && !planted.Is(planted.RefusalWithoutCheck) {
+		o.Kind = outcome.Interrupted
+	}
+	return o
+}
+
+// again ends an attempt and reports whether another one is to follow.
+func (j *job) again(r *relay, o outcome.Outcome) bool {
+	j.ran = j.ran || r.ran
+	again := retriable(o) && (j.out.restartable() || planted.Is(planted.RestartMidStream)) &&
+		j.attempt < maxAttempts && j.c.r.Context().Err() == nil
+	j.s.opts.Broker.Ended(control.Ended{ID: j.c.id, Tokens: r.next, Outcome: o, Last: !again})
+	if !again {
+		return false
+	}
+	j.first = o
+	j.place.Retry = true
+	j.place.Excluded = append(j.place.Excluded, r.backend.Name)
+	j.c.timeline.Add(wire.Event{Kind: incident.EventRestarted, Engine: r.backend.Name, Cause: string(o.Cause)})
+	return true
+}
+
 // afterFailure tells the caller why the first attempt failed when no further
 // one could be made.
 func afterFailure(first, second outcome.Outcome) outcome.Outcome {
@@ -133,8 +222,8 @@
 	return r
 }
 
-// start begins the generation and relays it.
-func (r *relay) start() outcome.Outcome {
+// start begins the generation. Without a stream the outcome says why.
+func (r *relay) start() (*engine.Stream, outcome.Outcome) {
 	stream, cause, ran := r.s.opts.Engines.Start(r.c.r.Context(), r.backend.Address, wire.GenerateRequest{
 		Generation: r.token.Generation, Model: r.c.service.Model, Prompt: r.c.model.prompt,
 		PromptTokens: r.c.model.promptTokens, MaxTokens: r.c.model.maxTokens, Priority: priority(r.c.model.class),
@@ -147,9 +236,9 @@
 		if ran {
 			go r.cancel()
 		}
-		return r.failed(cause)
+		return nil, r.failed(cause)
 	}
-	return r.run(stream)
+	return stream, outcome.Outcome{}
 }
 
 func priority(class string) int {
--- a/internal/caller/resume.go
+++ b/internal/caller/resume.go
@@ -81,10 +81,12 @@
 		return r.failed(outcome.EngineLost)
 	}
 	c.timeline.Add(wire.Event{Kind: incident.EventResumed, Engine: b.Name, Value: index})
-	out.open()
-	o := r.run(stream)
-	if o.Cause != outcome.None {
-		out.fail(c.id, o)
+	if s.goOn(c, stream, func() outcome.Outcome {
+		out.open()
+		return r.run(stream)
+	}) {
+		return outcome.Outcome{}
 	}
-	return o
+	out.open()
+	return failStream(c, out, r.run(stream))
 }
--- a/internal/caller/sink.go
+++ b/internal/caller/sink.go
@@ -76,7 +76,6 @@
 type streamSink struct {
 	continuity
 	c      *call
-	f      http.Flusher
 	chat   bool
 	buf    []byte
 	id     []byte // "id: TOKEN."
@@ -85,8 +84,7 @@
 }
 
 func newStreamSink(c *call, chat bool) *streamSink {
-	f, _ := c.w.(http.Flusher)
-	return &streamSink{c: c, f: f, chat: chat, buf: make([]byte, 0, streamBufferBytes)}
+	return &streamSink{c: c, chat: chat, buf: make([]byte, 0, streamBufferBytes)}
 }
 
 const streamBufferBytes = 512
@@ -153,8 +151,8 @@
 }
 
 func (s *streamSink) flush() error {
-	if s.f != nil {
-		s.f.Flush()
+	if f, ok := s.c.w.(http.Flusher); ok {
+		f.Flush()
 	}
 	return s.c.r.Context().Err()
 }
@@ -208,11 +206,15 @@
 	if !s.c.started {
 		return
 	}
-	body, _ := json.Marshal(problemOf(id, o))
-	_, _ = s.c.w.Write(fmt.Appendf(nil, "event: error\ndata: %s\n\n", body))
+	writeStreamError(s.c, problemOf(id, o))
 	_ = s.flush()
 }
 
+func writeStreamError(c *call, p Problem) {
+	body, _ := json.Marshal(p)
+	_, _ = c.w.Write(fmt.Appendf(nil, "event: error\ndata: %s\n\n", body))
+}
+
 // bufferSink collects the answer and sends it whole.
 type bufferSink struct {
 	continuity
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -69,6 +69,15 @@
 	_ = s.body.Close()
 }
 
+// Await blocks until data has arrived or the stream has ended.
+func (s *Stream) Await() { _, _ = s.r.Peek(1) }
+
+// Bind makes another context the one whose end closes the stream.
+func (s *Stream) Bind(ctx context.Context) {
+	s.watch.unbind()
+	s.watch.unbind = context.AfterFunc(ctx, func() { _ = s.watch.conn.Close() })
+}
+
 // event is one SSE event of an engine.
 type event struct {
 	id   []byte
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -381,6 +381,7 @@
 	for _, s := range v.servers {
 		_ = s.Close()
 	}
+	v.callers.Close()
 	v.links.Close()
 	v.wg.Wait()
 }
