bench: measure policies on a virtual clock

Cause: the users' measures are stall time, preemptions and the tail of the time between tokens, and nothing measured them.

Change: bench policy drives the real core of each VM against engine models, with workloads for both deployments in files. The ledger keeps reservations in a slice, as sums over a map made runs of one seed differ.

--- /dev/null
+++ b/cmd/pimentohinge/benchpolicy.go
@@ -0,0 +1,122 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/rotisserie/eris"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+
+	"github.com/pimentohinge/pimentohinge/internal/bench/policy"
+	"github.com/pimentohinge/pimentohinge/internal/bench/workload"
+)
+
+const formatSVG = "svg"
+
+func init() {
+	register(command{group: "bench", name: "policy", help: "Measure policies on a virtual clock.", setup: setupBenchPolicy})
+}
+
+func setupBenchPolicy(c *kingpin.CmdClause) func() error {
+	deployment := c.Flag("deployment", "Deployment: harbottle or klepsydra.").Required().Enum(policy.Deployments()...)
+	file := c.Flag("workload", "Workload file; by default examples/workloads/DEPLOYMENT.json.").String()
+	names := c.Flag("policies", "Policies, separated by commas.").Default(strings.Join(policy.Policies(), ",")).String()
+	seed := c.Flag("seed", "Seed of all that is drawn.").Default("1").Uint64()
+	load := c.Flag("load", "Load factor in place of the workload's.").Float64()
+	minutes := c.Flag("minutes", "Virtual minutes.").Default("10").Float64()
+	format := c.Flag("format", "Output format: table, json or svg.").Default(formatTable).Enum(formatTable, formatJSON, formatSVG)
+	return func() error {
+		if *minutes <= 0 || *minutes > 24*60 {
+			return &exitError{code: exitUsage, err: eris.New("--minutes must be above 0 and at most 1440")}
+		}
+		if *file == "" {
+			*file = "examples/workloads/" + *deployment + ".json"
+		}
+		w, err := workload.Load(*file)
+		if err != nil {
+			return &exitError{code: exitUsage, err: err}
+		}
+		r, err := policy.Run(policy.Options{
+			Deployment: *deployment, Workload: w, Load: *load, Seed: *seed,
+			Length: time.Duration(*minutes * float64(time.Minute)), Policies: strings.Split(*names, ","),
+			Progress: func(name string, done float64) {
+				if done > 0 {
+					fmt.Fprintf(os.Stderr, "%s %.0f%%\n", name, 100*done)
+				}
+			},
+		})
+		if err != nil {
+			return &exitError{code: exitUsage, err: err}
+		}
+		return printPolicies(r, *format)
+	}
+}
+
+func printPolicies(r policy.Report, format string) error {
+	switch format {
+	case formatJSON:
+		return printJSON(r)
+	case formatSVG:
+		return plotPolicies(os.Stdout, r)
+	}
+	fmt.Printf("deployment %s, workload %s, load %.2f, seed %d\n", r.Deployment, r.Workload, r.Load, r.Seed)
+	f := func(x float64, digits int) string { return strconv.FormatFloat(x, 'f', digits, 64) }
+	rows := [][]string{{
+		"POLICY", "STALL S", "STALL P99", "PREEMPTIONS", "GAP P95 MS", "GAP P99 MS", "FIRST P50", "FIRST P95",
+		"TOKENS/S", "FINISHED", "REFUSED", "INTERRUPTED", "CROSS MB", "WORST SHARE",
+	}}
+	for _, p := range r.Policies {
+		rows = append(rows, []string{
+			p.Name, f(p.StallSecondsTotal, 1), f(p.StallP99Seconds, 2), strconv.Itoa(p.Preemptions), f(p.InterTokenP95Ms, 1),
+			f(p.InterTokenP99Ms, 1), f(p.FirstTokenP50, 3), f(p.FirstTokenP95, 3), f(p.TokensPerSecond, 0),
+			strconv.Itoa(p.Finished), strconv.Itoa(p.Refused), strconv.Itoa(p.Interrupted),
+			f(float64(p.CrossRegionBytes)/1e6, 1), f(p.WorstWorkspaceShare, 2),
+		})
+	}
+	return printTable(rows)
+}
+
+// plotPolicies draws the users' three measures side by side.
+func plotPolicies(w io.Writer, r policy.Report) error {
+	measures := []struct {
+		title string
+		value func(policy.Result) float64
+	}{
+		{"stall time, s", func(p policy.Result) float64 { return p.StallSecondsTotal }},
+		{"preemptions", func(p policy.Result) float64 { return float64(p.Preemptions) }},
+		{"between tokens p99, ms", func(p policy.Result) float64 { return p.InterTokenP99Ms }},
+	}
+	canvas := vgsvg.New(vg.Length(len(measures))*3.2*vg.Inch, 3*vg.Inch)
+	tiles := draw.Tiles{Rows: 1, Cols: len(measures), PadX: 10, PadTop: 6, PadBottom: 6, PadLeft: 6, PadRight: 6}
+	dc := draw.New(canvas)
+	for i, m := range measures {
+		p := plot.New()
+		p.Title.Text = m.title
+		values := plotter.Values{}
+		names := []string{}
+		for _, x := range r.Policies {
+			values = append(values, m.value(x))
+			names = append(names, x.Name)
+		}
+		bars, err := plotter.NewBarChart(values, 18)
+		if err != nil {
+			return eris.Wrap(err, "draw bars")
+		}
+		p.Add(bars)
+		p.NominalX(names...)
+		p.X.Tick.Label.Rotation = 0.6
+		p.X.Tick.Label.XAlign = -0.9
+		p.Draw(tiles.At(dc, i, 0))
+	}
+	_, err := canvas.WriteTo(w)
+	return eris.Wrap(err, "write plot")
+}
--- a/internal/control/admit/admit.go
+++ b/internal/control/admit/admit.go
@@ -6,7 +6,7 @@
 
 import (
 	"math"
-	"sort"
+	"slices"
 	"time"
 
 	"github.com/pimentohinge/pimentohinge/internal/outcome"
@@ -62,14 +62,14 @@
 
 	report       wire.LoadReport
 	reportAt     time.Time
-	reservations map[string]Reservation
-	foreign      int // blocks in use that no reservation explains
+	reservations []Reservation // in order of the grants, so that sums are the same in each run
+	foreign      int           // blocks in use that no reservation explains
 	excessSince  time.Time
 }
 
 // New returns the ledger of an engine of which nothing is known yet.
 func New(c Confidence) *Ledger {
-	return &Ledger{Confidence: c, reservations: map[string]Reservation{}}
+	return &Ledger{Confidence: c}
 }
 
 // Report takes in a load report. Older reports of the same engine process are
@@ -86,13 +86,13 @@
 // reconcile drops the oldest reservations when the engine has reported fewer
 // sequences for some time: their end was lost on the way.
 func (l *Ledger) reconcile(now time.Time) {
-	var old []Reservation
+	old := 0
 	for _, r := range l.reservations {
 		if now.Sub(r.GrantedAt) > reportAge {
-			old = append(old, r)
+			old++
 		}
 	}
-	excess := len(old) - l.report.Running - l.report.Waiting
+	excess := old - l.report.Running - l.report.Waiting
 	if excess <= 0 {
 		l.excessSince = time.Time{}
 		return
@@ -104,10 +104,8 @@
 		return
 	}
 	l.excessSince = time.Time{}
-	sort.Slice(old, func(i, j int) bool { return old[i].GrantedAt.Before(old[j].GrantedAt) })
-	for _, r := range old[:excess] {
-		delete(l.reservations, r.Wire.Id)
-	}
+	// Reservations are in order of age, so the oldest come first.
+	l.reservations = slices.Delete(l.reservations, 0, excess)
 }
 
 // Latest returns the newest report and whether it is recent enough to count.
@@ -146,16 +144,21 @@
 
 // Ask grants a reservation or says what is lacking.
 func (l *Ledger) Ask(now time.Time, a Ask) outcome.Cause {
-	if _, again := l.reservations[a.Wire.Id]; again {
+	if l.find(a.Wire.Id) >= 0 {
 		return outcome.None
 	}
 	if c := l.check(now, a); c != outcome.None {
 		return c
 	}
-	l.reservations[a.Wire.Id] = Reservation{Ask: a, GrantedAt: now}
+	l.reservations = append(l.reservations, Reservation{Ask: a, GrantedAt: now})
 	return outcome.None
 }
 
+// find returns the position of a reservation, or -1.
+func (l *Ledger) find(id string) int {
+	return slices.IndexFunc(l.reservations, func(r Reservation) bool { return r.Wire.Id == id })
+}
+
 func (l *Ledger) check(now time.Time, a Ask) outcome.Cause {
 	r, fresh := l.Latest(now)
 	if !fresh {
@@ -218,41 +221,31 @@
 
 // Hold takes over a reservation that another admitter granted.
 func (l *Ledger) Hold(now time.Time, a Ask) {
-	if _, known := l.reservations[a.Wire.Id]; !known {
-		l.reservations[a.Wire.Id] = Reservation{Ask: a, GrantedAt: now}
+	if l.find(a.Wire.Id) < 0 {
+		l.reservations = append(l.reservations, Reservation{Ask: a, GrantedAt: now})
 	}
 }
 
 // End drops a reservation and reports whether it was there.
 func (l *Ledger) End(id string) (Reservation, bool) {
-	r, ok := l.reservations[id]
-	delete(l.reservations, id)
-	return r, ok
+	i := l.find(id)
+	if i < 0 {
+		return Reservation{}, false
+	}
+	r := l.reservations[i]
+	l.reservations = slices.Delete(l.reservations, i, i+1)
+	return r, true
 }
 
 // DropVM drops the reservations of an entry VM that died; what still runs for
 // it shows in the engine's reports.
 func (l *Ledger) DropVM(vm string) {
-	for id, r := range l.reservations {
-		if r.VM == vm {
-			delete(l.reservations, id)
-		}
-	}
+	l.reservations = slices.DeleteFunc(l.reservations, func(r Reservation) bool { return r.VM == vm })
 }
 
 // Open returns the number of reservations.
 func (l *Ledger) Open() int { return len(l.reservations) }
 
-// IDs returns the names of the reservations, sorted.
-func (l *Ledger) IDs() []string {
-	ids := make([]string, 0, len(l.reservations))
-	for id := range l.reservations {
-		ids = append(ids, id)
-	}
-	sort.Strings(ids)
-	return ids
-}
-
 // FreeBlocks estimates the blocks that are not in use now.
 func (l *Ledger) FreeBlocks(now time.Time) int {
 	return l.report.CapacityBlocks - l.foreign - l.usedAt(now)
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -59,6 +59,9 @@
 	ProbeInterval time.Duration
 	// Suspicion is how long a VM stays suspect.
 	Suspicion time.Duration
+	// Oracle tells the true length of a request to come, for the bound that no
+	// real policy reaches; nil means that lengths are estimated.
+	Oracle func(request string) admit.Lengths
 	// Seed feeds every random choice.
 	Seed uint64
 }
--- a/internal/control/request.go
+++ b/internal/control/request.go
@@ -302,5 +302,8 @@
 }
 
 func (c *Core) askOf(w wire.ReserveAsk, vm string) admit.Ask {
+	if c.opts.Oracle != nil {
+		return admit.Ask{Wire: w, VM: vm, Lengths: c.opts.Oracle(w.Id)}
+	}
 	return admit.Ask{Wire: w, VM: vm, Lengths: c.estimator(w.Workspace, w.Service, w.Class)}
 }
