control: follow the engines' steps and let short work pass at full queues

Three causes: the ledger took the age of a reservation for its length at the step time of the moment and never corrected a memory estimate that was too high; a request that did not fit held up all behind it; and work went to another region only after 2 s, when it had stalled for a second already.

--- a/cmd/pimentohinge/benchpolicy.go
+++ b/cmd/pimentohinge/benchpolicy.go
@@ -32,6 +32,7 @@
 	names := c.Flag("policies", "Policies, separated by commas.").Default(strings.Join(policy.Policies(), ",")).String()
 	seed := c.Flag("seed", "Seed of all that is drawn.").Default("1").Uint64()
 	load := c.Flag("load", "Load factor in place of the workload's.").Float64()
+	confidence := c.Flag("confidence", "Admission's reserve in standard deviations, in place of the deployment's.").Float64()
 	minutes := c.Flag("minutes", "Virtual minutes.").Default("10").Float64()
 	format := c.Flag("format", "Output format: table, json or svg.").Default(formatTable).Enum(formatTable, formatJSON, formatSVG)
 	return func() error {
@@ -46,7 +47,7 @@
 			return &exitError{code: exitUsage, err: err}
 		}
 		r, err := policy.Run(policy.Options{
-			Deployment: *deployment, Workload: w, Load: *load, Seed: *seed,
+			Deployment: *deployment, Workload: w, Load: *load, Seed: *seed, Confidence: *confidence,
 			Length: time.Duration(*minutes * float64(time.Minute)), Policies: strings.Split(*names, ","),
 			Progress: func(name string, done float64) {
 				if done > 0 {
--- a/internal/bench/policy/policy.go
+++ b/internal/bench/policy/policy.go
@@ -39,11 +39,11 @@
 var layouts = map[string]layout{
 	"harbottle": {
 		regions: []regionLayout{{"walsall-a", 2, 5}, {"derby-a", 2, 5}, {"leam-a", 2, 5}},
-		engine:  model.DefaultOptions(), waitPriceMs: 2000,
+		engine:  model.DefaultOptions(), waitPriceMs: 400,
 	},
 	"klepsydra": {
 		regions: []regionLayout{{"krakow-a", 2, 4}, {"warszawa-a", 2, 3}, {"gdansk-a", 2, 3}},
-		engine:  model.DefaultOptions(), preemptions: true, waitPriceMs: 5000,
+		engine:  model.DefaultOptions(), preemptions: true, waitPriceMs: 1000,
 	},
 }
 
@@ -85,6 +85,9 @@
 	// Progress gets the share done of each policy; it may be nil.
 	Progress func(policy string, done float64)
 
+	// Confidence replaces the admission's reserve when it is not 0, in standard deviations.
+	Confidence float64
+
 	churn []churn
 }
 
--- a/internal/bench/policy/sim.go
+++ b/internal/bench/policy/sim.go
@@ -150,6 +150,9 @@
 				RetryPercent: 100, QueueLength: 1 << 30, ProbeInterval: 500 * time.Millisecond,
 				Suspicion: 2 * time.Second, Seed: s.opts.Seed + uint64(len(s.vms)),
 			}
+			if s.opts.Confidence != 0 {
+				o.Confidence = admit.Confidence(s.opts.Confidence)
+			}
 			if p.oracle {
 				o.Oracle = s.trueLength
 			}
@@ -164,6 +167,8 @@
 
 // Remaining is 1 until the true length is reached.
 func (n exactLength) Remaining(generated, more int) float64 {
+	// The estimate of the generated tokens may run ahead of the engine.
+	generated = min(generated, int(n)-1)
 	if generated+more <= int(n) {
 		return 1
 	}
--- a/internal/control/admit/admit.go
+++ b/internal/control/admit/admit.go
@@ -34,6 +34,8 @@
 	Ask
 	// GrantedAt is when dispatch was allowed to start.
 	GrantedAt time.Time
+	// startClock is the engine's step count when the first token is expected.
+	startClock float64
 }
 
 // Confidence is the number of standard deviations that the projection keeps
@@ -47,12 +49,14 @@
 	reportAge = 5 * time.Second
 	// cautiousShare is the share of the capacity that is used without an admitter.
 	cautiousShare = 0.6
-	// settle is how long a new reservation may not show in a report yet.
-	settle = 1500 * time.Millisecond
+	// settle is how long a new reservation does not show in a report yet.
+	settle = 30 * time.Millisecond
+	// prefillTokens is the prompt length that takes an engine about one step.
+	prefillTokens = 512
 )
 
 // horizons are the times of the projection, in tokens generated from now.
-var horizons = [...]int{1, 32, 64, 128, 256, 512, 1024, 2048, 4096}
+var horizons = [...]int{1, 24, 48, 72, 96, 144, 192, 288, 384, 576, 768, 1152, 1536, 2304, 4096, 8192}
 
 // Ledger holds the reservations of one engine. It is not safe for concurrent
 // use.
@@ -63,8 +67,12 @@
 	report       wire.LoadReport
 	reportAt     time.Time
 	reservations []Reservation // in order of the grants, so that sums are the same in each run
-	foreign      int           // blocks in use that no reservation explains
-	excessSince  time.Time
+	// foreign is the blocks in use beyond what the reservations explain; it is
+	// negative when the engine uses less than they predict.
+	foreign     int
+	excessSince time.Time
+	// clock counts the decode steps of the engine up to the newest report.
+	clock float64
 }
 
 // New returns the ledger of an engine of which nothing is known yet.
@@ -78,9 +86,23 @@
 	if r.Sequence < l.report.Sequence && r.MeasuredUnixMs <= l.report.MeasuredUnixMs {
 		return
 	}
+	measured := time.UnixMilli(int64(r.MeasuredUnixMs))
+	if l.report.CapacityBlocks > 0 {
+		l.clock = l.clockAt(measured)
+	}
 	l.report, l.reportAt = r, now
 	l.reconcile(now)
-	l.foreign = max(0, r.UsedBlocks-l.usedAt(time.UnixMilli(int64(r.MeasuredUnixMs))))
+	l.foreign = r.UsedBlocks - l.usedAt(measured)
+	if r.Waiting > 0 {
+		// What was set aside comes back: it must not count as free.
+		l.foreign = max(0, l.foreign)
+	}
+}
+
+// clockAt is the engine's step count at a time not before the newest report.
+func (l *Ledger) clockAt(t time.Time) float64 {
+	since := t.Sub(time.UnixMilli(int64(l.report.MeasuredUnixMs)))
+	return l.clock + float64(since)/float64(l.step())
 }
 
 // reconcile drops the oldest reservations when the engine has reported fewer
@@ -123,14 +145,14 @@
 
 // generated estimates the tokens that a reservation has produced by now.
 func (l *Ledger) generated(r Reservation, now time.Time) int {
-	n := int(now.Sub(r.GrantedAt) / l.step())
+	n := int(l.clockAt(now) - r.startClock)
 	return max(0, min(n, r.Wire.MaxTokens))
 }
 
 func (l *Ledger) usedAt(t time.Time) int {
 	used := 0
 	for _, r := range l.reservations {
-		if r.GrantedAt.After(t.Add(settle)) {
+		if r.GrantedAt.After(t.Add(-settle)) {
 			continue
 		}
 		used += l.blocks(float64(r.Wire.PromptTokens + l.generated(r, t) + 1))
@@ -150,10 +172,19 @@
 	if c := l.check(now, a); c != outcome.None {
 		return c
 	}
-	l.reservations = append(l.reservations, Reservation{Ask: a, GrantedAt: now})
+	l.add(now, a)
 	return outcome.None
 }
 
+func (l *Ledger) add(now time.Time, a Ask) {
+	l.reservations = append(l.reservations, l.reservation(now, a))
+}
+
+func (l *Ledger) reservation(now time.Time, a Ask) Reservation {
+	prefill := 1 + float64(a.Wire.PromptTokens)/prefillTokens
+	return Reservation{Ask: a, GrantedAt: now, startClock: l.clockAt(now) + prefill}
+}
+
 // find returns the position of a reservation, or -1.
 func (l *Ledger) find(id string) int {
 	return slices.IndexFunc(l.reservations, func(r Reservation) bool { return r.Wire.Id == id })
@@ -192,7 +223,7 @@
 		return true
 	}
 	var mean, variance [len(horizons)]float64
-	l.project(Reservation{Ask: a, GrantedAt: now}, 0, &mean, &variance)
+	l.project(Reservation{Ask: a}, 0, &mean, &variance)
 	for _, r := range l.reservations {
 		l.project(r, l.generated(r, now), &mean, &variance)
 	}
@@ -222,7 +253,7 @@
 // Hold takes over a reservation that another admitter granted.
 func (l *Ledger) Hold(now time.Time, a Ask) {
 	if l.find(a.Wire.Id) < 0 {
-		l.reservations = append(l.reservations, Reservation{Ask: a, GrantedAt: now})
+		l.add(now, a)
 	}
 }
 
--- a/internal/control/length/length.go
+++ b/internal/control/length/length.go
@@ -63,12 +63,17 @@
 	return min(exp*subBuckets+frac, buckets-1)
 }
 
-// lower returns the smallest length in bucket i.
-func lower(i int) float64 {
-	return math.Ldexp(1+float64(i%subBuckets)/subBuckets, i/subBuckets)
-}
+// lowers holds the smallest length in each bucket, and the end of the last one.
+var lowers = func() (l [buckets + 1]float64) {
+	for i := range l {
+		l[i] = math.Ldexp(1+float64(i%subBuckets)/subBuckets, i/subBuckets)
+	}
+	return l
+}()
+
+func lower(i int) float64 { return lowers[i] }
 
-func upper(i int) float64 { return lower(i + 1) }
+func upper(i int) float64 { return lowers[i+1] }
 
 // Ended records a generation that ended by itself.
 func (e *Estimator) Ended(tokens int) { e.add(&e.ended, tokens) }
--- a/internal/control/policy.go
+++ b/internal/control/policy.go
@@ -61,7 +61,7 @@
 	})
 	kept := list[:0]
 	for _, c := range list {
-		if c.Own || !now.Before(c.FullUntil) {
+		if !now.Before(c.FullUntil) {
 			kept = append(kept, c)
 		}
 	}
--- a/internal/control/queue.go
+++ b/internal/control/queue.go
@@ -2,11 +2,20 @@
 
 import (
 	"github.com/pimentohinge/pimentohinge/internal/outcome"
+	"math"
+)
+
+const (
+	// shareSlack is how far a workspace may run ahead of another one that waits, in tokens by weight.
+	shareSlack = 50_000
+	// bypass is the number of requests at the head of a queue that smaller ones may pass.
+	bypass = 6
 )
 
 // queue holds the requests of one service that wait for an engine. Interactive
-// work goes first; within a class, workspaces share by weight and each
-// workspace's requests go by age.
+// work goes first. Within a class the request with the smallest expected cost
+// goes first, as that keeps the sum of the waits small, but a workspace that has
+// been given much more than its share goes last.
 type queue struct {
 	service string
 	waiting []*request         // in order of arrival
@@ -40,25 +49,47 @@
 // head returns the request to be placed next, or nil.
 func (q *queue) head() *request {
 	var best *request
+	q.floor = q.lowest()
 	for _, r := range q.waiting {
-		if r.phase == waiting && (best == nil || q.before(r, best)) {
+		if r.phase == waiting && !r.passed && (best == nil || q.before(r, best)) {
 			best = r
 		}
 	}
 	return best
 }
 
+// lowest returns the smallest spent cost among the workspaces that wait.
+func (q *queue) lowest() float64 {
+	if len(q.waiting) == 0 {
+		return q.floor
+	}
+	low := math.Inf(1)
+	for _, r := range q.waiting {
+		low = min(low, q.spent[r.Workspace])
+	}
+	return low
+}
+
 // before compares a later arrival with an earlier one.
 func (q *queue) before(later, earlier *request) bool {
 	if later.Class != earlier.Class {
 		return later.Class == ClassInteractive
 	}
-	return q.spent[later.Workspace] < q.spent[earlier.Workspace]
+	a, b := q.overShare(later), q.overShare(earlier)
+	if a != b {
+		return b
+	}
+	return later.cost < earlier.cost
+}
+
+// overShare reports whether a workspace has been given much more than another
+// one that waits.
+func (q *queue) overShare(r *request) bool {
+	return q.spent[r.Workspace] > q.floor+shareSlack
 }
 
 // charge records the expected cost of a placed request.
 func (q *queue) charge(r *request, tokens float64, weight int) {
-	q.floor = q.spent[r.Workspace]
 	q.spent[r.Workspace] += tokens / float64(max(weight, 1))
 }
 
@@ -77,6 +108,12 @@
 
 // pump places requests from the head of the queue until one has to wait.
 func (c *Core) pump(q *queue) {
+	passed := 0
+	defer func() {
+		for _, r := range q.waiting {
+			r.passed = false
+		}
+	}()
 	for {
 		r := q.head()
 		if r == nil {
@@ -91,7 +128,11 @@
 			continue
 		}
 		if !c.proceed(r) {
-			return
+			r.passed = true
+			passed++
+			if passed > bypass {
+				return
+			}
 		}
 	}
 }
--- a/internal/control/request.go
+++ b/internal/control/request.go
@@ -32,7 +32,9 @@
 	backend   *backend
 	admitter  string // VM that granted the reservation; empty for none
 	lastCause outcome.Cause
-	attempted bool // was at the head of the queue
+	attempted bool    // was at the head of the queue
+	passed    bool    // did not fit in this round
+	cost      float64 // expected tokens of prompt and output
 	events    []wire.Event
 }
 
@@ -73,6 +75,7 @@
 		c.refuse(r, o)
 		return
 	}
+	r.cost = float64(r.PromptTokens) + float64(c.estimator(r.Workspace, r.Service, r.Class).Quantile(medianQuantile, 0))
 	q.push(r)
 	c.pump(q)
 	if r.phase == waiting {
@@ -270,6 +273,7 @@
 // finish gives back what a placed request held and learns from its length.
 func (c *Core) finish(r *request, tokens int, whole bool) {
 	r.backend.outstanding--
+	r.backend.fullUntil = time.Time{}
 	if r.service.Kind == chain.KindModel {
 		c.learn(r.Workspace, r.Service, r.Class, tokens, whole)
 	}
--- a/internal/control/reserve.go
+++ b/internal/control/reserve.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/pimentohinge/pimentohinge/internal/control/admit"
 	"github.com/pimentohinge/pimentohinge/internal/outcome"
@@ -14,7 +15,7 @@
 	// heldPerFrame bounds the reservations in one frame.
 	heldPerFrame = 200
 	// denialBackoff is how long an engine is left alone after a refusal by its admitter.
-	denialBackoff = 2 * retryInterval
+	denialBackoff = 3 * retryInterval
 )
 
 // candidates lists the engines that may get the request, the nearest group
@@ -209,6 +210,7 @@
 		return
 	}
 	if res, ok := b.ledger.End(w.Id); ok {
+		b.fullUntil = time.Time{}
 		c.learn(res.Wire.Workspace, res.Wire.Service, res.Wire.Class, w.Tokens, w.Finished)
 		c.pump(c.queue(b.Service))
 	}
