control: give orders to engines under a lease, and calm the membership

Cause: engines take orders to load models, and nothing gave them.

Change: one order giver for each data centre holds a lease; its fencing number is the object's version, a holder counts from before it sent a renewal, others from when they first saw it, and a new holder is quiet until old orders have expired. Orders name target states, respect a number of loads at once and drain busy engines. Suspicion lasts as many rounds as the list has doublings, a refutation goes to three VMs at once, and roles are computed again only when a VM dies, leaves or joins, from hashes that are kept.

Conclusion: for engines that ignore the number, overlap is excluded while clocks run within 2 s of each other over an order's lifetime.

--- a/internal/control/backends.go
+++ b/internal/control/backends.go
@@ -133,15 +133,64 @@
 	}
 }
 
+// drainTime is how long an engine gets no new work after the order giver named
+// it; it names the engine again while it must stay so.
+const drainTime = 3 * time.Second
+
+// drain keeps new work from engines and tells the data centre.
+func (c *Core) drain(names []string) {
+	if len(names) == 0 {
+		return
+	}
+	c.heardDraining(names)
+	for _, n := range c.otherVMs() {
+		c.sendTo(n, wire.Frame{Loads: &wire.Loads{Draining: names}})
+	}
+}
+
+func (c *Core) heardDraining(names []string) {
+	for _, name := range names {
+		b := c.backends[name]
+		if b == nil {
+			continue
+		}
+		if !c.draining(b) {
+			c.decided("drain", "engine", name, "why", "its models are to change")
+		}
+		b.drainUntil = c.now.Add(drainTime)
+	}
+}
+
+func (c *Core) draining(b *backend) bool { return c.now.Before(b.drainUntil) }
+
+// loaded reports whether a backend can serve a model, as far as is known.
+func (b *backend) loaded(model string) bool {
+	return b.ledger == nil || b.report.CapacityBlocks == 0 || slices.Contains(b.report.Models, model)
+}
+
 // admitter returns the VM that grants reservations for an engine.
 func (c *Core) admitter(b *backend) string {
 	if b.holderEpoch != c.epoch {
-		b.holder = rendezvous.Holder("admit/"+b.Name, c.members.AliveIn(b.DataCentre))
+		b.holder = c.aliveSet(b.DataCentre).Holder("admit/" + b.Name)
 		b.holderEpoch = c.epoch
 	}
 	return b.holder
 }
 
+// aliveSet returns the usable VMs of a data centre with their hashes.
+func (c *Core) aliveSet(dc string) rendezvous.Set {
+	if c.setsEpoch != c.epoch {
+		clear(c.sets)
+		c.setsEpoch = c.epoch
+	}
+	s, ok := c.sets[dc]
+	if !ok {
+		s = rendezvous.NewSet(c.members.AliveIn(dc))
+		c.sets[dc] = s
+	}
+	return s
+}
+
 // ownEngines returns the engines that this VM admits for, sorted by name.
 func (c *Core) ownEngines() []*backend {
 	if c.ownEpoch == c.epoch {
@@ -218,6 +267,7 @@
 			c.takeReport(b, r)
 		}
 	}
+	c.heardDraining(l.Draining)
 	for _, name := range l.Leaving {
 		if b := c.backends[name]; b != nil && !b.leaving {
 			b.leaving = true
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -82,7 +82,8 @@
 	ledger      *admit.Ledger // set for engines; used while this VM is the admitter
 	report      wire.LoadReport
 	reportAt    time.Time
-	leaving     bool // by the engine's own report or a refusal
+	leaving     bool      // by the engine's own report or a refusal
+	drainUntil  time.Time // set by the order giver
 	unreachable bool
 	failedAt    time.Time // of the last failure of a dispatched request
 	nextPoll    time.Time
@@ -100,9 +101,11 @@
 	actions   []Action
 	members   *member.Table
 	state     *chain.State
-	history   []wire.Revision // consecutive, the newest is state.Number
-	highest   int             // highest revision heard of
-	epoch     int             // counts changes of members and backends, from 1
+	history   []wire.Revision           // consecutive, the newest is state.Number
+	highest   int                       // highest revision heard of
+	epoch     int                       // counts changes of members and backends, from 1
+	sets      map[string]rendezvous.Set // usable VMs by data centre, as of setsEpoch
+	setsEpoch int
 	own       []*backend
 	ownEpoch  int
 	started   bool // standing roles were computed once
@@ -134,7 +137,7 @@
 			Self: o.Self, Incarnation: o.Incarnation, ProbeInterval: o.ProbeInterval,
 			Suspicion: o.Suspicion, Rand: r,
 		}),
-		state: chain.Empty(), epoch: 1, backends: map[string]*backend{}, byService: map[string][]*backend{},
+		state: chain.Empty(), epoch: 1, sets: map[string]rendezvous.Set{}, backends: map[string]*backend{}, byService: map[string][]*backend{},
 		limits: limit.New(), budget: limit.NewBudget(o.RetryPercent),
 		lengths: map[lengthKey]*length.Estimator{}, requests: map[string]*request{},
 		held: map[string]string{}, queues: map[string]*queue{},
@@ -169,6 +172,8 @@
 		c.platformListed(m)
 	case RevisionsRead:
 		c.revisions(m.Snapshot, m.Revisions, "platform")
+	case Drain:
+		c.drain(m.Backends)
 	case Stop:
 		c.stop()
 	}
@@ -223,7 +228,7 @@
 			c.lostVM(ch.VM.Name)
 		}
 	}
-	if len(changes) > 0 {
+	if slices.ContainsFunc(changes, member.Change.MovesRoles) {
 		c.rolesChanged()
 	}
 }
--- a/internal/control/member/member.go
+++ b/internal/control/member/member.go
@@ -6,6 +6,7 @@
 
 import (
 	"maps"
+	"math/bits"
 	"math/rand/v2"
 	"slices"
 	"sort"
@@ -32,7 +33,9 @@
 	// bridges is the number of VMs of a data centre that probe other data centres.
 	bridges = 2
 	// indirect is the number of VMs that are asked to probe a silent one.
-	indirect = 2
+	indirect = 3
+	// refuteTo is the number of VMs that a refutation is sent to at once.
+	refuteTo = 3
 	// maxUpdates bounds the membership updates in one probe.
 	maxUpdates = 6
 	// fill is the number of members that are added at random when there is no news.
@@ -75,6 +78,10 @@
 	Why string
 }
 
+// MovesRoles reports whether the set of VMs that roles are computed from has
+// changed. A suspect VM still counts.
+func (c Change) MovesRoles() bool { return usable(c.From) != usable(c.To) }
+
 type entry struct {
 	wire.Member
 	state    State
@@ -354,21 +361,37 @@
 	e.Member, e.state, e.news = m, state, t.newsRepeats()
 	switch state {
 	case Suspect:
-		e.deadline = now.Add(t.opts.Suspicion)
+		e.deadline = now.Add(t.suspicion())
 	case Dead, Left:
 		e.deadline = now.Add(forgetAfter * t.opts.Suspicion)
 	}
-	t.aliveOK = false
+	if usable(before) != usable(state) {
+		t.aliveOK = false
+	}
 	if before != state {
 		t.changes = append(t.changes, Change{VM: m.Vm, From: before, To: state, Why: why})
 	}
 }
 
+// suspicion is how long a VM stays suspect: a refutation needs about as many
+// rounds to reach everyone as the list has doublings.
+func (t *Table) suspicion() time.Duration {
+	rounds := time.Duration(bits.Len(uint(len(t.entries))))
+	return max(t.opts.Suspicion, rounds*t.opts.ProbeInterval)
+}
+
 // refute raises the own incarnation above a statement that this VM is not
-// alive.
+// alive, and tells a few VMs at once.
 func (t *Table) refute(m wire.Member) {
-	if State(m.State) != Alive && m.Incarnation >= t.self.Incarnation && t.self.State == string(Alive) {
-		t.self.Incarnation = m.Incarnation + 1
+	if State(m.State) == Alive || m.Incarnation < t.self.Incarnation || t.self.State != string(Alive) {
+		return
+	}
+	t.self.Incarnation = m.Incarnation + 1
+	alive := t.AliveIn(t.opts.Self.DataCentre)
+	for range refuteTo {
+		if e := t.entries[alive[t.opts.Rand.IntN(len(alive))]]; e != nil {
+			t.send(e.Vm, wire.Probe{Ack: true})
+		}
 	}
 }
 
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -121,6 +121,13 @@
 	Revisions []wire.Revision
 }
 
+// Drain names the engines that get no new work for a moment, until they can be
+// given another role.
+type Drain struct {
+	// Backends are names of backends.
+	Backends []string
+}
+
 // Stop tells that the VM is to stop: no new work is accepted from now on.
 type Stop struct{}
 
@@ -135,6 +142,7 @@
 func (BackendRefused) message() {}
 func (PlatformListed) message() {}
 func (RevisionsRead) message()  {}
+func (Drain) message()          {}
 func (Stop) message()           {}
 
 // Action is what the core wants done. The core never waits for it.
--- a/internal/control/queue.go
+++ b/internal/control/queue.go
@@ -139,7 +139,13 @@
 }
 
 func (c *Core) noReplica(r *request) outcome.Outcome {
-	o := outcome.Refuse(outcome.NoReplica, "model "+r.service.Model)
+	cause := outcome.NoReplica
+	for _, b := range c.byService[r.Service] {
+		if b.State == stateLive && !b.leaving && !b.unreachable && !b.loaded(r.service.Model) {
+			cause = outcome.WeightStoreRate
+		}
+	}
+	o := outcome.Refuse(cause, "model "+r.service.Model)
 	o.RetryAt = c.now.Add(failureBackoff)
 	return o
 }
--- a/internal/control/rendezvous/rendezvous.go
+++ b/internal/control/rendezvous/rendezvous.go
@@ -9,23 +9,40 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Score is the weight of a VM for a role; the highest holds the role.
-func Score(role, vm string) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(role)
-	_, _ = d.Write([]byte{0})
-	_, _ = d.WriteString(vm)
-	return d.Sum64()
+// Set is a number of VMs with their hashes, for finding the holders of many
+// roles. It is never changed.
+type Set struct {
+	names  []string
+	hashes []uint64
+}
+
+// NewSet returns the set of some VMs, which must be sorted by name.
+func NewSet(vms []string) Set {
+	s := Set{names: vms, hashes: make([]uint64, len(vms))}
+	for i, v := range vms {
+		s.hashes[i] = xxhash.Sum64String(v)
+	}
+	return s
+}
+
+// score is the weight of a VM for a role; the highest holds the role.
+func score(role, vm uint64) uint64 {
+	// The finalizer of MurmurHash3 spreads each bit of the two hashes.
+	x := role ^ (vm * 0x9e3779b97f4a7c15)
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
 }
 
 // Holder returns the VM that holds the role, or an empty string without VMs.
-func Holder(role string, vms []string) string {
+func (s Set) Holder(role string) string {
+	r := xxhash.Sum64String(role)
 	best, bestScore := "", uint64(0)
-	for _, v := range vms {
-		s := Score(role, v)
-		if best == "" || s > bestScore || (s == bestScore && v < best) {
-			best, bestScore = v, s
+	for i, h := range s.hashes {
+		if x := score(r, h); best == "" || x > bestScore {
+			best, bestScore = s.names[i], x
 		}
 	}
 	return best
@@ -33,14 +50,24 @@
 
 // Holders returns the n VMs with the highest scores, best first, or fewer when
 // there are not that many.
-func Holders(role string, vms []string, n int) []string {
-	sorted := append([]string(nil), vms...)
-	sort.Slice(sorted, func(i, j int) bool {
-		a, b := Score(role, sorted[i]), Score(role, sorted[j])
-		if a != b {
-			return a > b
-		}
-		return sorted[i] < sorted[j]
+func (s Set) Holders(role string, n int) []string {
+	r := xxhash.Sum64String(role)
+	order := make([]int, len(s.names))
+	for i := range order {
+		order[i] = i
+	}
+	sort.SliceStable(order, func(i, j int) bool {
+		return score(r, s.hashes[order[i]]) > score(r, s.hashes[order[j]])
 	})
-	return sorted[:min(n, len(sorted))]
+	var out []string
+	for _, i := range order[:min(n, len(order))] {
+		out = append(out, s.names[i])
+	}
+	return out
 }
+
+// Holder returns the VM that holds one role among VMs sorted by name.
+func Holder(role string, vms []string) string { return NewSet(vms).Holder(role) }
+
+// Holders returns the n VMs with the highest scores for one role.
+func Holders(role string, vms []string, n int) []string { return NewSet(vms).Holders(role, n) }
--- /dev/null
+++ b/internal/engine/engine_test.go
@@ -0,0 +1,113 @@
+package engine_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/pimentohinge/pimentohinge/internal/engine"
+	"github.com/pimentohinge/pimentohinge/internal/outcome"
+	"github.com/pimentohinge/pimentohinge/pkg/wire"
+)
+
+// cannedNetwork answers every connection with the same bytes.
+type cannedNetwork struct{ answer string }
+
+func (cannedNetwork) Listen(string) (net.Listener, error) { return nil, net.ErrClosed }
+
+func (n cannedNetwork) Dial(context.Context, string) (net.Conn, error) {
+	near, far := net.Pipe()
+	go func() { _, _ = io.Copy(io.Discard, far) }()
+	go func() {
+		_, _ = io.WriteString(far, n.answer)
+		_ = far.Close()
+	}()
+	return near, nil
+}
+
+// read returns the tokens and the end of a canned stream.
+func read(t *testing.T, events string) (tokens []string, end engine.End, opened bool) {
+	t.Helper()
+	c := engine.New(cannedNetwork{"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n" + events})
+	s, _, _ := c.Start(t.Context(), "10.0.0.1:1", wire.GenerateRequest{Generation: "g"}, time.Minute)
+	if s == nil {
+		return nil, engine.End{}, false
+	}
+	defer s.Close()
+	for {
+		token, end, ok := s.Next()
+		if !ok {
+			return tokens, end, true
+		}
+		tokens = append(tokens, string(token.Text))
+	}
+}
+
+func events(indexes ...int) string {
+	var b strings.Builder
+	for _, i := range indexes {
+		fmt.Fprintf(&b, "id: g/%d\ndata: \"t%d\"\n\n", i, i)
+	}
+	return b.String()
+}
+
+const endOfTwo = "event: end\ndata: {\"reason\":\"stop\",\"tokens\":2}\n\n"
+
+func TestStreamsKeepTheirOrder(t *testing.T) {
+	both := []string{`"t0"`, `"t1"`}
+	one := both[:1]
+	for _, c := range []struct {
+		name, events string
+		tokens       []string
+		end          engine.End
+	}{
+		{"whole", events(0, 1) + endOfTwo, both, engine.End{Tokens: 2}},
+		{"keepAlive", events(0) + ": waiting\n\n" + events(1) + endOfTwo, both, engine.End{Tokens: 2}},
+		{"repeated", events(0, 0, 1, 0) + endOfTwo, both, engine.End{Tokens: 2}},
+		{"gap", events(0, 2), one, engine.End{Cause: outcome.StalledLink}},
+		{"endTooEarly", events(0) + endOfTwo, one, engine.End{Cause: outcome.StalledLink}},
+		{"foreign", events(0) + "id: h/1\ndata: \"x\"\n\n", one, engine.End{Cause: outcome.StalledLink}},
+		{"notJSON", events(0) + "id: g/1\ndata: x\n\n", one, engine.End{Cause: outcome.StalledLink}},
+		{"cut", events(0, 1), both, engine.End{Cause: outcome.EngineLost}},
+		{"reclaimed", events(0) + "event: end\ndata: {\"reason\":\"reclaimed\"}\n\n", one, engine.End{Cause: outcome.EngineReclaimed}},
+		{"longLine", "id: g/0\ndata: \"" + strings.Repeat("x", 5000) + "\"\n\n", []string{`"` + strings.Repeat("x", 5000) + `"`}, engine.End{Cause: outcome.EngineLost}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			tokens, end, _ := read(t, c.events)
+			if diff := cmp.Diff(c.tokens, tokens); diff != "" {
+				t.Error(diff)
+			}
+			if diff := cmp.Diff(c.end, end); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+func FuzzStream(f *testing.F) {
+	f.Add(events(0, 1) + endOfTwo)
+	f.Add(events(0, 2))
+	f.Add("data: \"x\"\r\n\r\nid: g/-1\n\nevent: end\n\n")
+	f.Fuzz(func(t *testing.T, body string) {
+		tokens, end, opened := read(t, body)
+		if opened && end.Cause == outcome.None && end.Tokens != len(tokens) {
+			t.Errorf("complete with %d tokens of %d", len(tokens), end.Tokens)
+		}
+	})
+}
+
+func FuzzParseLoad(f *testing.F) {
+	f.Add([]byte(`{"engine":"e","capacityBlocks":10,"usedBlocks":3,"blockTokens":16,"slots":4}`))
+	f.Add([]byte(`{"capacityBlocks":-1}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		if r, ok := engine.ParseLoad(body); ok && (r.UsedBlocks > r.CapacityBlocks || r.BlockTokens < 1) {
+			t.Errorf("accepted %+v", r)
+		}
+	})
+}
--- a/internal/planted/planted.go
+++ b/internal/planted/planted.go
@@ -37,6 +37,8 @@
 	LeavingIgnored Mistake = "leavingIgnored"
 	// StopCutsOff ends a VM without waiting for its open requests.
 	StopCutsOff Mistake = "stopCutsOff"
+	// LeaseFromAnswer counts a lease from the platform's answer in place of the time of sending.
+	LeaseFromAnswer Mistake = "leaseFromAnswer"
 	// RefusalWithoutCheck tells that a report did not run although an engine began.
 	RefusalWithoutCheck Mistake = "refusalWithoutCheck"
 )
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -164,6 +164,7 @@
 	v.spawn(v.writeIncidents)
 	v.spawn(v.seek)
 	v.spawn(v.register)
+	v.spawn(v.giveOrders)
 	v.log.Info().Str("event", "started").Str("vm", v.self.Name).Str("dataCentre", v.self.DataCentre).
 		Int("incarnation", v.incarnation).Str("callers", l.Callers).Msg("")
 	return nil
--- a/pkg/wire/wire.go
+++ b/pkg/wire/wire.go
@@ -259,6 +259,9 @@
 
 // Load reports that an admitter passes on, and backends seen leaving.
 type Loads struct {
+	// Engines that get no new work for a moment.
+	Draining []string `json:"draining,omitempty,omitzero"`
+
 	// Backends that take no new work.
 	Leaving []string `json:"leaving,omitempty,omitzero"`
 
