--- a/internal/caller/relay.go
+++ b/internal/caller/relay.go
@@ -167,9 +167,10 @@
 }
 
 // afterFailure tells the caller why the first attempt failed when no further
-// one could be made.
+// one could be made, or that the engines are still loading.
 func afterFailure(first, second outcome.Outcome) outcome.Outcome {
-	if first.Cause == outcome.None || second.Cause == outcome.CallerGone {
+	loading := first.Kind == outcome.NotRun && second.Cause == outcome.WeightStoreRate
+	if first.Cause == outcome.None || loading || second.Cause == outcome.CallerGone {
 		return second
 	}
 	first.Detail = "no other engine: " + second.Cause.Sentence()
--- a/internal/control/admit/admit.go
+++ b/internal/control/admit/admit.go
@@ -192,6 +192,9 @@
 
 func (l *Ledger) check(now time.Time, a Ask) outcome.Cause {
 	r, fresh := l.Latest(now)
+	if !fresh && r.CapacityBlocks > 0 {
+		return outcome.EngineLost
+	}
 	if !fresh {
 		return outcome.AdmitterLost
 	}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -84,6 +84,7 @@
 	reportAt    time.Time
 	leaving     bool      // by the engine's own report or a refusal
 	drainUntil  time.Time // set by the order giver
+	downUntil   time.Time // the admitter could not reach the engine
 	unreachable bool
 	failedAt    time.Time // of the last failure of a dispatched request
 	nextPoll    time.Time
--- a/internal/control/request.go
+++ b/internal/control/request.go
@@ -176,7 +176,7 @@
 	if (b.State != stateLive || b.leaving) && !planted.Is(planted.LeavingIgnored) {
 		return false
 	}
-	if b.unreachable || c.draining(b) || !b.loaded(r.service.Model) {
+	if b.unreachable || c.now.Before(b.downUntil) || c.draining(b) || !b.loaded(r.service.Model) {
 		return false
 	}
 	for _, x := range r.Excluded {
--- a/internal/control/reserve.go
+++ b/internal/control/reserve.go
@@ -150,6 +150,9 @@
 		})
 	}
 	r.lastCause = cause
+	if cause == outcome.EngineLost {
+		b.downUntil = c.now.Add(failureBackoff)
+	}
 	b.fullUntil = c.now.Add(denialBackoff)
 }
 
@@ -162,6 +165,8 @@
 		reply.Cause = string(outcome.NoReplica)
 	case (b.leaving || b.State != stateLive) && !planted.Is(planted.LeavingIgnored):
 		reply.Cause = string(outcome.EngineReclaimed)
+	case b.unreachable:
+		reply.Cause = string(outcome.EngineLost)
 	case c.stopping:
 		reply.Cause = string(outcome.AdmitterLost)
 	default:
--- a/internal/incident/explain.go
+++ b/internal/incident/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -77,7 +78,8 @@
 func (x *Explanation) cause(worst time.Duration, at int) {
 	t := x.Timeline
 	x.Cause = outcome.Cause(t.Cause)
-	if x.Cause == outcome.None && (worst >= StallAfter || t.StallMs > 0) {
+	stalled := slices.ContainsFunc(t.Events, func(e wire.Event) bool { return e.Kind == EventStalled })
+	if x.Cause == outcome.None && (worst >= StallAfter || stalled) {
 		x.Cause, x.Engine = waitCause(t, at)
 	}
 	if x.Cause == outcome.None {
