control: keep the cost of a decision and of an idle VM within the budget

Change: a decision looks at 24 engines, half of them the VM's own; candidates are dropped once a request is placed; the digest goes less often in large data centres, where a VM has many engines of its own.

--- a/internal/bench/capacity/capacity_test.go
+++ b/internal/bench/capacity/capacity_test.go
@@ -1,6 +1,8 @@
 package capacity_test
 
 import (
+	"strconv"
+	"strings"
 	"testing"
 
 	"github.com/pimentohinge/pimentohinge/internal/bench/capacity"
@@ -13,3 +15,17 @@
 		capacity.Steady(53, 1, 467, 1)
 	}
 }
+
+// BenchmarkDecision places 5000 requests on replicas of one VM. One operation is
+// all of them.
+func BenchmarkDecision(b *testing.B) {
+	for _, replicas := range []int{15, 467, 5600} {
+		b.Run(strconv.Itoa(replicas), func(b *testing.B) {
+			for range b.N {
+				for _, r := range capacity.Decision(replicas, 1) {
+					b.ReportMetric(r.Value, strings.ReplaceAll(r.What, " ", "-"))
+				}
+			}
+		})
+	}
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -37,6 +37,8 @@
 	cautiousAge = 5 * time.Second
 	// medianQuantile is what a queued request is expected to cost.
 	medianQuantile = 0.5
+	// digestVMs is the size of a data centre from which the digest goes with every second probe.
+	digestVMs = 16
 	// announceTo is the number of VMs that are told at once of a new revision.
 	announceTo = 3
 )
@@ -112,6 +114,7 @@
 	started   bool // standing roles were computed once
 	backends  map[string]*backend
 	names     []string              // of the backends, sorted
+	probes    int                   // sent, for the pace of the load digest
 	byService map[string][]*backend // sorted by name
 	listed    int64                 // version of the platform's list
 	limits    *limit.Limits
@@ -218,7 +221,7 @@
 	for _, o := range out {
 		p := o.Probe
 		f := wire.Frame{Probe: &p}
-		if o.To.DataCentre == c.opts.Self.DataCentre && !p.Ack && p.Target == "" {
+		if o.To.DataCentre == c.opts.Self.DataCentre && !p.Ack && p.Target == "" && c.digestDue() {
 			f.Loads = c.ownLoads()
 		}
 		c.send(o.To, f)
@@ -234,6 +237,15 @@
 	}
 }
 
+// digestDue reports whether the load digest goes with this probe: with each one
+// in a small data centre, and less often in a large one, where a VM has many
+// engines of its own to choose from.
+func (c *Core) digestDue() bool {
+	c.probes++
+	every := 1 + len(c.members.AliveIn(c.opts.Self.DataCentre))/digestVMs
+	return c.probes%every == 0
+}
+
 func (c *Core) rolesChanged() {
 	c.epoch++
 	dc := c.opts.Self.DataCentre
--- a/internal/control/request.go
+++ b/internal/control/request.go
@@ -235,6 +235,7 @@
 // placeOn gives the request to a backend.
 func (c *Core) placeOn(r *request, b *backend, why string) {
 	r.phase, r.backend = placed, b
+	r.round = nil
 	b.outstanding++
 	kind := EventPlaced
 	if r.admitter != "" {
--- a/internal/control/reserve.go
+++ b/internal/control/reserve.go
@@ -14,6 +14,12 @@
 const (
 	// heldPerFrame bounds the reservations in one frame.
 	heldPerFrame = 200
+	// sampleSize is the number of engines that one decision looks at.
+	sampleSize = 24
+	// sampleTries bounds the engines that are passed over, being elsewhere.
+	sampleTries = 1024
+	// sampleStride is a prime, so that the sample is spread over the list.
+	sampleStride = 7919
 	// denialBackoff is how long an engine is left alone after a refusal by its admitter.
 	denialBackoff = 3 * retryInterval
 )
@@ -27,8 +33,8 @@
 		reach = 2
 	}
 	for near := 0; near <= 2; near++ {
-		for _, b := range c.byService[r.Service] {
-			if b.ledger != nil && c.distance(b) == near && c.eligible(r, b) {
+		for _, b := range c.sample(c.byService[r.Service], near) {
+			if c.eligible(r, b) {
 				list = append(list, c.candidate(b))
 			}
 		}
@@ -39,6 +45,44 @@
 	return list
 }
 
+// sample returns the engines at a distance, or a random part of them where there
+// are many, so that the cost of a decision does not grow with the fleet.
+func (c *Core) sample(all []*backend, near int) []*backend {
+	if len(all) <= sampleSize {
+		return c.within(all, near)
+	}
+	out := make([]*backend, 0, sampleSize)
+	start := c.rand.IntN(len(all))
+	// Engines that this VM admits for cost no message: they are half of the sample.
+	own := c.ownEngines()
+	for i := range own {
+		b := own[(start+i)%len(own)]
+		if near == 0 && b.Service == all[0].Service && len(out) < sampleSize/2 {
+			out = append(out, b)
+		}
+	}
+	for i := range all {
+		b := all[(start+i*sampleStride)%len(all)]
+		if len(out) == sampleSize || i == sampleTries {
+			break
+		}
+		if b.ledger != nil && c.distance(b) == near && !slices.Contains(out, b) {
+			out = append(out, b)
+		}
+	}
+	return out
+}
+
+func (c *Core) within(all []*backend, near int) []*backend {
+	out := make([]*backend, 0, len(all))
+	for _, b := range all {
+		if b.ledger != nil && c.distance(b) == near {
+			out = append(out, b)
+		}
+	}
+	return out
+}
+
 func (c *Core) candidate(b *backend) Candidate {
 	own := c.isAdmitter(b)
 	free := b.report.CapacityBlocks - b.report.UsedBlocks
