--- a/test/faults/explain_test.go
+++ b/test/faults/explain_test.go
@@ -85,14 +85,14 @@
 }
 
 // during applies a fault in the middle of a report.
-func during(f fault, length int) func(*world) (string, string) {
+func during(f fault) func(*world) (string, string) {
 	return func(w *world) (string, string) {
 		name := ""
 		time.AfterFunc(700*time.Millisecond, func() {
 			name = w.Engines[w.busyEngine()].Backend.Name
 			f.apply(w)
 		})
-		a := w.stream(length, 0)
+		a := w.stream(reportTokens, 0)
 		if a.err != nil {
 			return requestOf(a.err), name
 		}
@@ -163,9 +163,9 @@
 		w.newModel("report-writer-9b")
 		return requestOf(w.stream(5, 0).err), ""
 	}},
-	{outcome.EngineLost, nil, during(named(engineFaults, "engineKilled"), 110)},
-	{outcome.EngineReclaimed, nil, during(named(engineFaults, "engineReclaimed"), 110)},
-	{outcome.StalledLink, nil, during(named(engineFaults, "connectionsStuck"), 110)},
+	{outcome.EngineLost, nil, during(named(engineFaults, "engineKilled"))},
+	{outcome.EngineReclaimed, nil, during(named(engineFaults, "engineReclaimed"))},
+	{outcome.StalledLink, nil, during(named(engineFaults, "connectionsStuck"))},
 	{outcome.EngineRefused, nil, func(w *world) (string, string) {
 		setEngines(llm.Faults{Refuse: true})(w)
 		id := requestOf(w.stream(5, 0).err)
@@ -268,7 +268,7 @@
 // wrote to the platform, and then without the platform.
 func TestExplainAfterTheVMDied(t *testing.T) {
 	inWorld(t, nil, func(w *world) {
-		request, backend := during(named(engineFaults, "engineKilled"), 110)(w)
+		request, backend := during(named(engineFaults, "engineKilled"))(w)
 		time.Sleep(settled)
 		w.VMs[0].Kill()
 		w.net.Crash(w.VMs[0].Host)
