vm: link peers over mutual TLS

Cause: tls.peerCa was read and then ignored, and with a certificate the peer port spoke TLS while peers dialled it without: such a fleet could not form.

Change: with tls.peerCa both sides of a peer link show certificates of that authority over TLS 1.3; without it the link stays plain, authenticated by key, and is refused outside loopback unless the settings allow it.

--- a/internal/network/network.go
+++ b/internal/network/network.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"time"
@@ -36,6 +37,15 @@
 	return d.DialContext(ctx, "tcp", addr)
 }
 
+// SecureClient is Client with TLS for https and wss.
+func SecureClient(n Network, config *tls.Config) *http.Client {
+	c := Client(n)
+	if t, ok := c.Transport.(*http.Transport); ok {
+		t.TLSClientConfig = config
+	}
+	return c
+}
+
 // Client returns an HTTP client over a network. It follows no redirects and no
 // proxies, and its buffers are small because streams are many.
 func Client(n Network) *http.Client {
--- a/internal/settings/sections.go
+++ b/internal/settings/sections.go
@@ -50,15 +50,15 @@
 	AllowPlain bool `json:"allowPlain"`
 }
 
-func (l Listen) check(c *collector, encrypted bool) {
-	for _, e := range []struct{ key, addr string }{
-		{"listen.callers", l.Callers},
-		{"listen.peers", l.Peers},
-		{"listen.operators", l.Operators},
+func (l Listen) check(c *collector, t TLS) {
+	for _, e := range []struct{ key, addr, needs, has string }{
+		{"listen.callers", l.Callers, "tls.certificate", t.Certificate},
+		{"listen.peers", l.Peers, "tls.peerCa", t.PeerCA},
+		{"listen.operators", l.Operators, "tls.certificate", t.Certificate},
 	} {
 		ap, ok := checkIPPort(c, e.key, e.addr)
-		if ok && !encrypted && !l.AllowPlain && !ap.Addr().IsLoopback() {
-			c.add(e.key, "%s is not loopback: set tls, or listen.allowPlain to true", e.addr)
+		if ok && e.has == "" && !l.AllowPlain && !ap.Addr().IsLoopback() {
+			c.add(e.key, "%s is not loopback: set %s, or listen.allowPlain to true", e.addr, e.needs)
 		}
 	}
 	if l.Callers != "" && (l.Callers == l.Peers || l.Callers == l.Operators) {
@@ -200,7 +200,7 @@
 	Certificate string `json:"certificate"`
 	// Key is the private key of the certificate.
 	Key string `json:"key"`
-	// PeerCA, when set, makes peers authenticate by certificates it signed.
+	// PeerCA, when set, makes peer links use TLS with certificates that it signed, at both sides.
 	PeerCA string `json:"peerCa"`
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -78,7 +78,7 @@
 
 func (s *Settings) check(c *collector) {
 	s.VM.check(c)
-	s.Listen.check(c, s.TLS.Certificate != "")
+	s.Listen.check(c, s.TLS)
 	s.Platform.check(c)
 	s.Peers.check(c)
 	s.Callers.check(c)
--- a/internal/vm/tls.go
+++ b/internal/vm/tls.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/tls"
+	"crypto/x509"
 	"net"
 	"os"
 	"sync"
@@ -53,6 +54,7 @@
 	return nil
 }
 
+// tlsListener wraps a listener in TLS with the certificate of the settings.
 func tlsListener(ln net.Listener, s settings.TLS) (net.Listener, error) {
 	c := &certificate{settings: s}
 	if _, err := c.get(nil); err != nil {
@@ -60,3 +62,31 @@
 	}
 	return tls.NewListener(ln, &tls.Config{GetCertificate: c.get, MinVersion: tls.VersionTLS12}), nil
 }
+
+// peerTLS returns the configuration of peer links, which is the same at both
+// sides: each shows its certificate and checks that the other's is signed by
+// the fleet's authority. It returns nil when the settings name none.
+func peerTLS(s settings.TLS) (*tls.Config, error) {
+	if s.PeerCA == "" {
+		return nil, nil
+	}
+	pem, err := os.ReadFile(s.PeerCA)
+	if err != nil {
+		return nil, eris.Wrap(err, "read peer authority")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, eris.New("peer authority has no certificate: " + s.PeerCA)
+	}
+	c := &certificate{settings: s}
+	if _, err := c.get(nil); err != nil {
+		return nil, err
+	}
+	return &tls.Config{
+		GetCertificate: c.get,
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			return c.get(nil)
+		},
+		RootCAs: pool, ClientCAs: pool, ClientAuth: tls.RequireAndVerifyClientCert, MinVersion: tls.VersionTLS13,
+	}, nil
+}
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -120,11 +121,6 @@
 		ProbeInterval: time.Duration(s.Peers.ProbeIntervalMs) * time.Millisecond,
 		Suspicion:     time.Duration(s.Peers.SuspicionMs) * time.Millisecond,
 	})
-	v.links = peer.New(peer.Options{
-		Self: v.self, Incarnation: v.incarnation, Key: s.Peers.Key, Client: client, Scheme: "ws",
-		Met: v.met, Heard: v.heard,
-		Unreachable: func(vm string, f wire.Frame) { v.tell(control.Unreachable{VM: vm, Frame: f}) },
-	})
 	v.claims = claim.New(v.platform, s.VM.Name, v.incarnation, v.holderAlive)
 	v.callers = caller.New(caller.Options{
 		VM: s.VM.Name, Limits: s.Callers, Secret: s.Peers.Key, Broker: v, Engines: v.engines,
@@ -140,22 +136,41 @@
 // Self returns how other VMs know this one.
 func (v *VM) Self() wire.VM { return v.self }
 
+// newLinks prepares the peer links, over mutual TLS when config is not nil.
+func (v *VM) newLinks(config *tls.Config) *peer.Links {
+	client, scheme := network.Client(v.opts.Network), "ws"
+	if config != nil {
+		client, scheme = network.SecureClient(v.opts.Network, config), "wss"
+	}
+	return peer.New(peer.Options{
+		Self: v.self, Incarnation: v.incarnation, Key: v.opts.Settings.Peers.Key, Client: client, Scheme: scheme,
+		Met: v.met, Heard: v.heard,
+		Unreachable: func(vm string, f wire.Frame) { v.tell(control.Unreachable{VM: vm, Frame: f}) },
+	})
+}
+
 // Start opens the listeners and starts all work. The error names the address
-// that could not be opened.
+// that could not be opened, or the file that could not be read.
 func (v *VM) Start() error {
 	l := v.opts.Settings.Listen
+	secure, err := peerTLS(v.opts.Settings.TLS)
+	if err != nil {
+		return err
+	}
+	v.links = v.newLinks(secure)
 	peers := http.NewServeMux()
 	peers.Handle(peer.Path, v.links)
 	ops := operator.New(operator.Options{Keys: v.opts.Settings.Operators.Keys, VM: v, Registry: v.registry, Log: v.log})
 	for _, e := range []struct {
 		name, addr string
 		handler    http.Handler
+		wrap       func(net.Listener) (net.Listener, error)
 	}{
-		{"peers", l.Peers, peers},
-		{"operators", l.Operators, ops.Handler()},
-		{"callers", l.Callers, v.callers.Handler()},
+		{"peers", l.Peers, peers, func(ln net.Listener) (net.Listener, error) { return wrapPeers(ln, secure), nil }},
+		{"operators", l.Operators, ops.Handler(), v.secure},
+		{"callers", l.Callers, v.callers.Handler(), v.secure},
 	} {
-		if err := v.serve(e.name, e.addr, e.handler); err != nil {
+		if err := v.serve(e.name, e.addr, e.handler, e.wrap); err != nil {
 			v.Kill()
 			return err
 		}
@@ -170,12 +185,20 @@
 	return nil
 }
 
-func (v *VM) serve(name, addr string, h http.Handler) error {
+// wrapPeers makes peers show a certificate when the settings ask for it.
+func wrapPeers(ln net.Listener, config *tls.Config) net.Listener {
+	if config == nil {
+		return ln
+	}
+	return tls.NewListener(ln, config)
+}
+
+func (v *VM) serve(name, addr string, h http.Handler, wrap func(net.Listener) (net.Listener, error)) error {
 	ln, err := v.opts.Network.Listen(addr)
 	if err != nil {
 		return eris.Wrapf(err, "listen for %s at %s", name, addr)
 	}
-	ln, err = v.secure(ln)
+	ln, err = wrap(ln)
 	if err != nil {
 		return err
 	}
@@ -383,6 +406,8 @@
 		_ = s.Close()
 	}
 	v.callers.Close()
-	v.links.Close()
+	if v.links != nil {
+		v.links.Close()
+	}
 	v.wg.Wait()
 }
