operator: serve a status page, and prove peer links over TLS

Cause: operators asked for a page with fleet, revisions, queues and incidents.

Change: a read-only page from a template at the operators' port, with the operator's key as bearer or as the password of basic authentication. The TLS test now asks one VM to explain a request of the other, which needs the peer link.

--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -106,6 +106,7 @@
 	r.Handle("/metrics", promhttp.HandlerFor(s.opts.Registry, promhttp.HandlerOpts{}))
 	r.Group(func(r chi.Router) {
 		r.Use(s.authenticate)
+		r.Get("/", s.statusPage)
 		r.Get("/v1/view", func(w http.ResponseWriter, _ *http.Request) { answer(w, http.StatusOK, s.opts.VM.View()) })
 		r.Get("/v1/configuration", func(w http.ResponseWriter, _ *http.Request) {
 			answer(w, http.StatusOK, s.opts.VM.State().Snapshot())
@@ -145,7 +146,10 @@
 
 func (s *Server) authenticate(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		key, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		key, bearer := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		if _, password, basic := r.BasicAuth(); basic && !bearer {
+			key = password
+		}
 		for _, k := range s.opts.Keys {
 			if subtle.ConstantTimeCompare([]byte(k.Key), []byte(key)) == 1 {
 				next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), operatorName{}, k.Name)))
@@ -153,6 +157,7 @@
 			}
 		}
 		s.opts.Log.Warn().Str("event", "operatorRefused").Str("path", r.URL.Path).Msg("")
+		w.Header().Set("WWW-Authenticate", `Basic realm="pimentohinge operators"`)
 		refuse(w, http.StatusUnauthorized, "the operator's key is missing or wrong")
 	})
 }
--- a/internal/vm/tls_test.go
+++ b/internal/vm/tls_test.go
@@ -127,6 +127,12 @@
 		if resp.StatusCode != want {
 			t.Errorf("%s: %d", url, resp.StatusCode)
 		}
+		// The other VM can only know of the request over the peer link.
+		if id := resp.Header.Get("X-Request-Id"); strings.HasPrefix(url, strings.Replace(f.VMs[0].Callers, "http:", "https:", 1)) {
+			if _, found := f.VMs[1].Explain(t.Context(), id); !found {
+				t.Error("the other VM cannot explain the request")
+			}
+		}
 	}
 }
 
