--- a/internal/bench/load/load.go
+++ b/internal/bench/load/load.go
@@ -14,6 +14,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/pimentohinge/pimentohinge/internal/bench/workload"
+	"github.com/pimentohinge/pimentohinge/internal/pause"
 	"github.com/pimentohinge/pimentohinge/pkg/client"
 )
 
@@ -95,7 +96,7 @@
 	var wg sync.WaitGroup
 	for i, q := range o.Workload.Draw(o.Seed, length, o.Rate) {
 		due := begin.Add(time.Duration(float64(q.At) / o.TimeScale))
-		if !sleepUntil(ctx, due) || r.open() >= maxOpen {
+		if !pause.Until(ctx, due) || r.open() >= maxOpen {
 			break
 		}
 		r.note(func(x *Result) { x.Started++ })
@@ -106,17 +107,6 @@
 	return r.finish(time.Since(begin)), nil
 }
 
-func sleepUntil(ctx context.Context, t time.Time) bool {
-	timer := time.NewTimer(time.Until(t))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func (r *run) note(change func(*Result)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -137,7 +127,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	go func() {
-		for sleepUntil(ctx, time.Now().Add(time.Second)) {
+		for pause.Until(ctx, time.Now().Add(time.Second)) {
 			r.mu.Lock()
 			x := r.result
 			r.mu.Unlock()
--- a/internal/caller/relay.go
+++ b/internal/caller/relay.go
@@ -9,6 +9,7 @@
 	"github.com/pimentohinge/pimentohinge/internal/engine"
 	"github.com/pimentohinge/pimentohinge/internal/incident"
 	"github.com/pimentohinge/pimentohinge/internal/outcome"
+	"github.com/pimentohinge/pimentohinge/internal/pause"
 	"github.com/pimentohinge/pimentohinge/internal/planted"
 	"github.com/pimentohinge/pimentohinge/pkg/wire"
 )
@@ -346,7 +347,7 @@
 
 // resume opens the stream again at the missing token.
 func (r *relay) resume(resumes int) (*engine.Stream, int) {
-	pause := resumePause
+	wait := resumePause
 	for resumes < maxResumes {
 		resumes++
 		stream, _ := r.s.opts.Engines.Resume(r.c.r.Context(), r.backend.Address, r.token.Generation, r.next, r.silence)
@@ -355,25 +356,14 @@
 			r.c.timeline.Add(wire.Event{Kind: incident.EventResumed, Engine: r.backend.Name, Value: r.next})
 			return stream, resumes
 		}
-		if !sleep(r.c.r.Context(), pause) {
+		if !pause.For(r.c.r.Context(), wait) {
 			return nil, resumes
 		}
-		pause *= 2
+		wait *= 2
 	}
 	return nil, resumes
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // lost ends a generation that can't be reached any more.
 func (r *relay) lost(cause outcome.Cause) outcome.Outcome {
 	if r.c.r.Context().Err() != nil {
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/pimentohinge/pimentohinge/internal/pause"
 	"github.com/pimentohinge/pimentohinge/internal/planted"
 	"github.com/pimentohinge/pimentohinge/internal/platform"
 	"github.com/pimentohinge/pimentohinge/pkg/wire"
@@ -198,23 +199,12 @@
 func (c *Claims) read(ctx context.Context, key string) (platform.Object, platform.Status) {
 	for try := 1; ; try++ {
 		o, st := c.store.Get(ctx, key)
-		if st != platform.Unavailable || try == readTries || !pause(ctx, readPause) {
+		if st != platform.Unavailable || try == readTries || !pause.For(ctx, readPause) {
 			return o, st
 		}
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 func (c *Claims) abandon(attempt string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -260,7 +250,7 @@
 			// A conflict means that an earlier try took effect and its answer was lost.
 			return
 		}
-		if !pause(ctx, readPause) {
+		if !pause.For(ctx, readPause) {
 			return
 		}
 	}
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -12,7 +13,10 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/pimentohinge/pimentohinge/internal/engine"
+	"github.com/pimentohinge/pimentohinge/internal/network"
 	"github.com/pimentohinge/pimentohinge/internal/outcome"
+	"github.com/pimentohinge/pimentohinge/internal/standin/llm"
+	"github.com/pimentohinge/pimentohinge/internal/standin/model"
 	"github.com/pimentohinge/pimentohinge/pkg/wire"
 )
 
@@ -111,3 +115,23 @@
 		}
 	})
 }
+
+// BenchmarkLoad reads a load report over loopback. The engine's side of it is in
+// the same process and counts too.
+func BenchmarkLoad(b *testing.B) {
+	e := llm.New(llm.Options{Name: "e", Models: []string{"m"}, Model: model.DefaultOptions()})
+	ln, err := network.TCP{}.Listen("127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	s := &http.Server{Handler: e.Handler(), ReadHeaderTimeout: time.Minute}
+	go func() { _ = s.Serve(ln) }()
+	defer func() { _ = s.Close() }()
+	c := engine.New(network.TCP{})
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, ok := c.Load(b.Context(), ln.Addr().String()); !ok {
+			b.Fatal("no report")
+		}
+	}
+}
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -16,6 +16,7 @@
 	"github.com/go-chi/chi/v5"
 	"golang.org/x/time/rate"
 
+	"github.com/pimentohinge/pimentohinge/internal/pause"
 	"github.com/pimentohinge/pimentohinge/internal/platform"
 )
 
@@ -175,7 +176,7 @@
 		s.counts.Writes++
 	}
 	s.mu.Unlock()
-	if f.DelayMs > 0 && !sleep(ctx, time.Duration(f.DelayMs)*time.Millisecond) {
+	if f.DelayMs > 0 && !pause.For(ctx, time.Duration(f.DelayMs)*time.Millisecond) {
 		return false
 	}
 	if f.Outage {
@@ -189,17 +190,6 @@
 	return true
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 func (s *Store) get(w http.ResponseWriter, r *http.Request) {
 	if !s.enter(r.Context(), w, false) {
 		return
--- a/internal/vm/explain.go
+++ b/internal/vm/explain.go
@@ -9,6 +9,7 @@
 
 	"github.com/pimentohinge/pimentohinge/internal/control"
 	"github.com/pimentohinge/pimentohinge/internal/incident"
+	"github.com/pimentohinge/pimentohinge/internal/pause"
 	"github.com/pimentohinge/pimentohinge/internal/platform"
 	"github.com/pimentohinge/pimentohinge/pkg/wire"
 )
@@ -136,7 +137,7 @@
 
 // writeIncidents keeps what must outlive this VM in the platform.
 func (v *VM) writeIncidents() {
-	for rest(v.ctx, writeInterval) {
+	for pause.For(v.ctx, writeInterval) {
 		v.writeFresh(v.ctx)
 		v.dropExpired()
 	}
--- a/internal/vm/orders.go
+++ b/internal/vm/orders.go
@@ -9,6 +9,7 @@
 	"github.com/pimentohinge/pimentohinge/internal/control/lease"
 	"github.com/pimentohinge/pimentohinge/internal/control/orders"
 	"github.com/pimentohinge/pimentohinge/internal/control/rendezvous"
+	"github.com/pimentohinge/pimentohinge/internal/pause"
 	"github.com/pimentohinge/pimentohinge/internal/platform"
 	"github.com/pimentohinge/pimentohinge/pkg/wire"
 )
@@ -31,7 +32,7 @@
 	})
 	p := orders.New(loadsAtOnce)
 	held := false
-	for rest(v.ctx, orderPause) {
+	for pause.For(v.ctx, orderPause) {
 		v.keepLease(l, role)
 		now := time.Now()
 		if l.Held(now) != held {
--- a/internal/vm/release.go
+++ b/internal/vm/release.go
@@ -10,6 +10,7 @@
 	"github.com/pimentohinge/pimentohinge/internal/control"
 	"github.com/pimentohinge/pimentohinge/internal/control/chain"
 	"github.com/pimentohinge/pimentohinge/internal/operator"
+	"github.com/pimentohinge/pimentohinge/internal/pause"
 	"github.com/pimentohinge/pimentohinge/internal/planted"
 	"github.com/pimentohinge/pimentohinge/internal/platform"
 	"github.com/pimentohinge/pimentohinge/pkg/wire"
@@ -132,7 +133,7 @@
 		case read == platform.NotFound && st == platform.Lost:
 			return v.appendRevision(ctx, rev)
 		}
-		if !rest(ctx, catchUpPause) {
+		if !pause.For(ctx, catchUpPause) {
 			break
 		}
 	}
--- a/internal/vm/watch.go
+++ b/internal/vm/watch.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/pimentohinge/pimentohinge/internal/control"
+	"github.com/pimentohinge/pimentohinge/internal/pause"
 	"github.com/pimentohinge/pimentohinge/internal/platform"
 	"github.com/pimentohinge/pimentohinge/pkg/wire"
 )
@@ -52,7 +53,7 @@
 // follow lists a prefix and then watches it, handing over all objects first
 // and then those that changed.
 func (v *VM) follow(ctx context.Context, prefix string, take func(platform.Listing)) {
-	pause := firstPause
+	wait := firstPause
 	after := int64(-1)
 	for ctx.Err() == nil {
 		var l platform.Listing
@@ -63,14 +64,14 @@
 			l, st = v.platform.Watch(ctx, prefix, after, time.Now().Add(watchTime))
 		}
 		if st != platform.OK {
-			jitter := time.Duration(rand.Int64N(int64(pause)))
-			if !rest(ctx, pause/2+jitter) {
+			jitter := time.Duration(rand.Int64N(int64(wait)))
+			if !pause.For(ctx, wait/2+jitter) {
 				return
 			}
-			pause = min(2*pause, longestPause)
+			wait = min(2*wait, longestPause)
 			continue
 		}
-		pause = firstPause
+		wait = firstPause
 		v.synced.Store(true)
 		if after < 0 || len(l.Objects) > 0 {
 			take(l)
@@ -79,17 +80,6 @@
 	}
 }
 
-func rest(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // readConfig hands revisions and snapshots to the core, which ignores what is
 // not newer.
 func (v *VM) readConfig(l platform.Listing) {
@@ -168,7 +158,7 @@
 				v.links.Introduce(addr)
 			}
 		}
-		if !rest(v.ctx, seekPause) {
+		if !pause.For(v.ctx, seekPause) {
 			return
 		}
 	}
@@ -186,7 +176,7 @@
 		if _, st := v.platform.Put(v.ctx, keyVMs+v.self.Name, value, platform.Condition{}); st == platform.OK {
 			return
 		}
-		if !rest(v.ctx, registerPause) {
+		if !pause.For(v.ctx, registerPause) {
 			return
 		}
 	}
