member: keep sorted names and news instead of finding them for each message

Each message scanned and sorted the table, and each tick looked at every entry's deadline.

Change: the table keeps its sorted names, the names with news and the earliest deadline.

--- a/internal/control/member/member.go
+++ b/internal/control/member/member.go
@@ -110,7 +110,10 @@
 	nextProbe time.Time
 	changes   []Change
 	out       []Outgoing
-	alive     []string // cache of AliveIn for the own data centre
+	all       []string  // names of the entries, sorted; nil when it has to be made anew
+	news      []string  // names of the entries that are still to be passed on
+	expiry    time.Time // no entry's deadline comes before; zero when none has one
+	alive     []string  // cache of AliveIn for the own data centre
 	aliveOK   bool
 }
 
@@ -208,17 +211,25 @@
 	return t.entries[names[t.opts.Rand.IntN(len(names))]]
 }
 
+// names returns the names of some entries, sorted.
 func (t *Table) names(keep func(*entry) bool) []string {
-	names := make([]string, 0, len(t.entries))
-	for n, e := range t.entries {
-		if keep(e) {
+	var names []string
+	for _, n := range t.everyone() {
+		if keep(t.entries[n]) {
 			names = append(names, n)
 		}
 	}
-	sort.Strings(names)
 	return names
 }
 
+// everyone returns the names of all entries, sorted.
+func (t *Table) everyone() []string {
+	if t.all == nil {
+		t.all = slices.Sorted(maps.Keys(t.entries))
+	}
+	return t.all
+}
+
 func (t *Table) probe(now time.Time, to wire.VM) {
 	t.sequence++
 	t.pending[t.sequence] = &pending{target: to.Name, askedAt: now, deadline: now.Add(t.opts.ProbeInterval)}
@@ -270,10 +281,15 @@
 }
 
 func (t *Table) expireStates(now time.Time) {
+	if t.expiry.IsZero() || now.Before(t.expiry) {
+		return
+	}
+	defer t.findExpiry()
 	for _, name := range t.names(func(e *entry) bool { return e.state != Alive && !now.Before(e.deadline) }) {
 		e := t.entries[name]
 		if e.state != Suspect {
 			delete(t.entries, name)
+			t.all = nil
 			continue
 		}
 		m := e.Member
@@ -282,6 +298,16 @@
 	}
 }
 
+// findExpiry finds the earliest deadline of an entry.
+func (t *Table) findExpiry() {
+	t.expiry = time.Time{}
+	for _, e := range t.entries {
+		if e.state != Alive && (t.expiry.IsZero() || e.deadline.Before(t.expiry)) {
+			t.expiry = e.deadline
+		}
+	}
+}
+
 // Hear takes in a probe or an acknowledgement.
 func (t *Table) Hear(now time.Time, from wire.VM, p wire.Probe) ([]Outgoing, []Change) {
 	for _, m := range p.Members {
--- a/internal/control/member/merge.go
+++ b/internal/control/member/merge.go
@@ -1,8 +1,9 @@
 package member
 
 import (
+	"cmp"
 	"math/bits"
-	"sort"
+	"slices"
 	"time"
 
 	"github.com/pimentohinge/pimentohinge/pkg/wire"
@@ -26,6 +27,7 @@
 		}
 		e = &entry{}
 		t.entries[m.Vm.Name] = e
+		t.all = nil
 	}
 	newer := m.Incarnation > e.Incarnation ||
 		(m.Incarnation == e.Incarnation && precedence[state] > precedence[e.state])
@@ -34,6 +36,9 @@
 		return
 	}
 	before := e.state
+	if !slices.Contains(t.news, m.Vm.Name) {
+		t.news = append(t.news, m.Vm.Name)
+	}
 	e.Member, e.state, e.news = m, state, t.newsRepeats()
 	switch state {
 	case Suspect:
@@ -41,6 +46,9 @@
 	case Dead, Left:
 		e.deadline = now.Add(forgetAfter * t.opts.Suspicion)
 	}
+	if state != Alive && (t.expiry.IsZero() || e.deadline.Before(t.expiry)) {
+		t.expiry = e.deadline
+	}
 	if usable(before) != usable(state) {
 		t.aliveOK = false
 	}
@@ -84,20 +92,27 @@
 	p.Revision = t.self.Revision
 	p.Listed = t.listed
 	p.Members = append(p.Members, t.self)
-	news := t.names(func(e *entry) bool { return e.news > 0 })
-	sort.SliceStable(news, func(i, j int) bool { return t.entries[news[i]].news > t.entries[news[j]].news })
-	for _, n := range news {
-		if len(p.Members) == maxUpdates {
-			break
-		}
-		t.entries[n].news--
-		p.Members = append(p.Members, t.entries[n].Member)
-	}
+	t.addNews(&p)
 	t.tellOwnState(to, &p)
 	t.addRandom(&p)
 	t.out = append(t.out, Outgoing{To: to, Probe: p})
 }
 
+// addNews adds what was passed on least often.
+func (t *Table) addNews(p *wire.Probe) {
+	t.news = slices.DeleteFunc(t.news, func(n string) bool {
+		e := t.entries[n]
+		return e == nil || e.news == 0
+	})
+	slices.SortStableFunc(t.news, func(a, b string) int {
+		return cmp.Or(t.entries[b].news-t.entries[a].news, cmp.Compare(a, b))
+	})
+	for _, n := range t.news[:min(len(t.news), maxUpdates-len(p.Members))] {
+		t.entries[n].news--
+		p.Members = append(p.Members, t.entries[n].Member)
+	}
+}
+
 // tellOwnState tells a VM that is held for suspect or dead, so that it can
 // refute.
 func (t *Table) tellOwnState(to wire.VM, p *wire.Probe) {
@@ -110,7 +125,7 @@
 	if len(p.Members) > fill || len(t.entries) == 0 {
 		return
 	}
-	names := t.names(func(*entry) bool { return true })
+	names := t.everyone()
 	for range fill {
 		p.Members = append(p.Members, t.entries[names[t.opts.Rand.IntN(len(names))]].Member)
 	}
