control: bound the asks of other VMs when engines are full

Change: asks of other VMs come out of an allowance of 10 a second and at most 40; a grant gives two back, so that only refused asks run out.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -113,6 +113,8 @@
 	ownEpoch  int
 	started   bool // standing roles were computed once
 	backends  map[string]*backend
+	asks      float64 // allowance for asking other VMs, as of asksAt
+	asksAt    time.Time
 	names     []string              // of the backends, sorted
 	probes    int                   // sent, for the pace of the load digest
 	byService map[string][]*backend // sorted by name
--- a/internal/control/reserve.go
+++ b/internal/control/reserve.go
@@ -14,6 +14,11 @@
 const (
 	// heldPerFrame bounds the reservations in one frame.
 	heldPerFrame = 200
+	// asksPerSecond is how many asks of other VMs are allowed when all are refused.
+	asksPerSecond = 10
+	// mostAsks is the largest allowance, and asksPerGrant what a grant adds to it.
+	mostAsks     = 40
+	asksPerGrant = 2
 	// sampleSize is the number of engines that one decision looks at.
 	sampleSize = 24
 	// sampleTries bounds the engines that are passed over, being elsewhere.
@@ -140,6 +145,9 @@
 	if !known {
 		return c.placeCautiously(r, b)
 	}
+	if !c.takeAsk() {
+		return false
+	}
 	r.phase, r.admitter = asking, holder
 	r.replyBy = c.now.Add(replyWait)
 	ask := r.ask
@@ -147,6 +155,19 @@
 	return true
 }
 
+// takeAsk takes one ask of another VM from the allowance. A grant gives it back
+// and more, so that only asks that are refused run out: when all engines are
+// full, asking each of them for each waiting request would flood the links.
+func (c *Core) takeAsk() bool {
+	c.asks = min(mostAsks, c.asks+asksPerSecond*c.now.Sub(c.asksAt).Seconds())
+	c.asksAt = c.now
+	if c.asks < 1 {
+		return false
+	}
+	c.asks--
+	return true
+}
+
 func (c *Core) placeDirect(r *request) bool {
 	if len(r.round) == 0 {
 		return false
@@ -232,6 +253,9 @@
 		return
 	}
 	b := c.backends[w.Engine]
+	if w.Granted {
+		c.asks = min(mostAsks, c.asks+asksPerGrant)
+	}
 	if w.Granted && b != nil && !b.leaving {
 		c.granted(r, b, r.admitter)
 		return
