claim: bound the memory of abandoned attempts

Cause: reading the code as a newcomer: attempts that never dispatched were remembered without bound, one for each clean failure; three places spelt out the states of a usable VM; the demonstration kept a field that nobody read.

Change: at most 10000 attempts are remembered, the oldest go first; a forgotten one only makes its key count as taken. One function says whether a VM is usable.

--- a/cmd/pimentohinge/demo.go
+++ b/cmd/pimentohinge/demo.go
@@ -36,7 +36,6 @@
 
 type demoRun struct {
 	fleet *fleet.Fleet
-	slow  string // request id of the slow request
 }
 
 func runDemo(logs bool) error {
@@ -268,7 +267,6 @@
 	if !found || x.Cause == "" {
 		return fmt.Errorf("no cause was found for %s: %+v", r.RequestID, x)
 	}
-	d.slow = r.RequestID
 	for _, line := range strings.Split(strings.TrimSpace(x.Text()), "\n") {
 		say("| %s", line)
 	}
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -36,6 +36,8 @@
 	readTries      = 4
 	readPause      = 100 * time.Millisecond
 	finishTries    = 5
+	// maxAbandoned bounds the attempts that are remembered.
+	maxAbandoned = 10_000
 )
 
 // Result is what Take found.
@@ -97,8 +99,10 @@
 	alive       Alive
 
 	mu sync.Mutex
-	// abandoned are attempts of this process that certainly never dispatched.
+	// abandoned are attempts of this process that certainly never dispatched, and
+	// order is their age. A forgotten one only makes its key count as taken.
 	abandoned map[string]bool
+	order     []string
 }
 
 // New returns the claims of one process.
@@ -208,7 +212,15 @@
 func (c *Claims) abandon(attempt string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.abandoned[attempt] {
+		return
+	}
+	if len(c.order) == maxAbandoned {
+		delete(c.abandoned, c.order[0])
+		c.order = c.order[1:]
+	}
 	c.abandoned[attempt] = true
+	c.order = append(c.order, attempt)
 }
 
 func (c *Claims) wasAbandoned(attempt string) bool {
--- a/internal/vm/broker.go
+++ b/internal/vm/broker.go
@@ -6,6 +6,7 @@
 
 	"github.com/pimentohinge/pimentohinge/internal/control"
 	"github.com/pimentohinge/pimentohinge/internal/control/chain"
+	"github.com/pimentohinge/pimentohinge/internal/control/member"
 	"github.com/pimentohinge/pimentohinge/internal/outcome"
 	"github.com/pimentohinge/pimentohinge/pkg/wire"
 )
@@ -73,13 +74,18 @@
 // peerNamed looks up a VM that is not known to be dead.
 func (v *VM) peerNamed(name string) (wire.VM, bool) {
 	for _, m := range v.view.Load().Members {
-		if m.Vm.Name == name && m.State != "dead" && m.State != "left" {
+		if m.Vm.Name == name && usable(m) {
 			return m.Vm, true
 		}
 	}
 	return wire.VM{}, false
 }
 
+// usable reports whether a VM is alive as far as is known.
+func usable(m wire.Member) bool {
+	return m.State == string(member.Alive) || m.State == string(member.Suspect)
+}
+
 // Taken implements caller.Broker.
 func (v *VM) Taken(vm, request, generation string) {
 	if to, ok := v.peerNamed(vm); ok {
--- a/internal/vm/orders.go
+++ b/internal/vm/orders.go
@@ -77,7 +77,7 @@
 func (v *VM) aliveHere() []string {
 	var names []string
 	for _, m := range v.view.Load().Members {
-		if m.Vm.DataCentre == v.self.DataCentre && (m.State == "alive" || m.State == "suspect") {
+		if m.Vm.DataCentre == v.self.DataCentre && usable(m) {
 			names = append(names, m.Vm.Name)
 		}
 	}
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -19,7 +19,6 @@
 	"github.com/pimentohinge/pimentohinge/internal/claim"
 	"github.com/pimentohinge/pimentohinge/internal/control"
 	"github.com/pimentohinge/pimentohinge/internal/control/chain"
-	"github.com/pimentohinge/pimentohinge/internal/control/member"
 	"github.com/pimentohinge/pimentohinge/internal/engine"
 	"github.com/pimentohinge/pimentohinge/internal/incident"
 	"github.com/pimentohinge/pimentohinge/internal/network"
@@ -349,7 +348,7 @@
 		if m.Vm.Name == name {
 			// Refuting a suspicion raises the number by little; a new life starts far above.
 			sameLife := m.Incarnation < incarnation+maxRefutations
-			return sameLife && (m.State == string(member.Alive) || m.State == string(member.Suspect))
+			return sameLife && usable(m)
 		}
 	}
 	return false
