llm: give no token for the step in which the engine was killed

The stand-in engine, when killed, woke from its step at once and gave out the tokens of that step; if a stream wrote the first token before its connection closed, something had been delivered and no other engine might start. Ruled out: the fault's moment and the relay, which acted rightly on what it got.

Change: a killed stand-in gives no token for the step it was in. The check, its moment and the expectation are as before.

--- a/internal/standin/llm/llm.go
+++ b/internal/standin/llm/llm.go
@@ -239,6 +239,10 @@
 		} else {
 			wait(ctx, d)
 		}
+		if ctx.Err() != nil {
+			// A process that ended gives no token for the step it was in.
+			return
+		}
 		e.mu.Lock()
 		e.apply(events)
 		if now := time.Now(); !now.Before(next) {
