--- a/pkg/client/stream.go
+++ b/pkg/client/stream.go
@@ -8,9 +8,10 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/pimentohinge/pimentohinge/internal/pause"
 )
 
 // Completion is a request for a streamed completion.
@@ -127,7 +128,7 @@
 		if try > maxResumes {
 			return s.Result, eris.Wrap(err, "resume stream")
 		}
-		if !pause(ctx) {
+		if !pause.For(ctx, resumePause) {
 			return s.Result, ctx.Err()
 		}
 		s.Resumes++
@@ -135,17 +136,6 @@
 	}
 }
 
-func pause(ctx context.Context) bool {
-	t := time.NewTimer(resumePause)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // deliveryError is an error of the receiver of tokens.
 type deliveryError struct{ err error }
 
