platform: move the store client into the adapter and speak the users' store

Cause: the product's client spoke versions as ETag and prefixes of keys; the users' store speaks kinds, names, revisions in bodies, waiting watches and 410. Change: the one client moved from internal/platform to platform/ with the same functions; keys are kind/name. The stand-in store speaks the same calls. A watch whose history is gone lists again, and a full listing drops what it lacks.

--- a/internal/control/lease/lease.go
+++ b/internal/control/lease/lease.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/pimentohinge/pimentohinge/internal/planted"
-	"github.com/pimentohinge/pimentohinge/internal/platform"
+	"github.com/pimentohinge/pimentohinge/platform"
 	"github.com/pimentohinge/pimentohinge/pkg/wire"
 )
 
--- a/internal/control/lease/lease_test.go
+++ b/internal/control/lease/lease_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/pimentohinge/pimentohinge/internal/control/lease"
 	"github.com/pimentohinge/pimentohinge/internal/planted"
-	"github.com/pimentohinge/pimentohinge/internal/platform"
+	"github.com/pimentohinge/pimentohinge/platform"
 	"github.com/pimentohinge/pimentohinge/pkg/wire"
 )
 
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/url"
 	"sort"
 	"strconv"
 	"strings"
@@ -17,14 +18,16 @@
 	"golang.org/x/time/rate"
 
 	"github.com/pimentohinge/pimentohinge/internal/pause"
-	"github.com/pimentohinge/pimentohinge/internal/platform"
+	"github.com/pimentohinge/pimentohinge/platform"
 )
 
 // Rates of the object service.
 const (
 	WritesPerSecond = 300
 	ReadsPerSecond  = 2000
-	maxWatch        = 60 * time.Second
+	maxWatch        = 30 * time.Second
+	pageObjects     = 500
+	objectsPath     = "/v1/objects/"
 )
 
 // Faults selects what goes wrong. The zero value is a healthy service.
@@ -55,14 +58,15 @@
 
 // Store is the object service. It is safe for concurrent use.
 type Store struct {
-	mu      sync.Mutex
-	objects map[string][]entry // versions in ascending order
-	version int64
-	faults  Faults
-	counts  Counts
-	changed chan struct{} // closed and replaced at each change
-	writes  *rate.Limiter
-	reads   *rate.Limiter
+	mu        sync.Mutex
+	objects   map[string][]entry // versions in ascending order
+	version   int64
+	faults    Faults
+	counts    Counts
+	forgotten int64         // changes up to this version cannot be watched
+	changed   chan struct{} // closed and replaced at each change
+	writes    *rate.Limiter
+	reads     *rate.Limiter
 }
 
 // New returns an empty store with the rates of the object service.
@@ -146,10 +150,11 @@
 // Handler serves the object interface and, under /standin/, its faults.
 func (s *Store) Handler() http.Handler {
 	r := chi.NewRouter()
-	r.Get("/objects", s.list)
-	r.Get("/objects/*", s.get)
-	r.Put("/objects/*", s.put)
-	r.Delete("/objects/*", s.remove)
+	r.Get(objectsPath+"{kind}", s.list)
+	r.Post(objectsPath+"{kind}", s.create)
+	r.Get(objectsPath+"{kind}/*", s.get)
+	r.Put(objectsPath+"{kind}/*", s.put)
+	r.Delete(objectsPath+"{kind}/*", s.remove)
 	r.Put("/standin/faults", s.putFaults)
 	return r
 }
@@ -190,47 +195,127 @@
 	return true
 }
 
+// meta, object, event and page are the objects as they stand on the wire.
+type meta struct {
+	Name string `json:"name"`
+	Rev  int64  `json:"rev"`
+}
+
+type object struct {
+	Meta meta            `json:"metadata"`
+	Spec json.RawMessage `json:"spec"`
+}
+
+type event struct {
+	Deleted bool   `json:"deleted"`
+	Object  object `json:"object"`
+}
+
+type page struct {
+	Items     []object `json:"items,omitempty"`
+	Events    []event  `json:"events,omitempty"`
+	Truncated bool     `json:"truncated"`
+	Revision  int64    `json:"storeRevision"`
+}
+
+func objectOf(key string, e entry) object {
+	_, name, _ := strings.Cut(key, "/")
+	return object{Meta: meta{Name: name, Rev: e.version}, Spec: e.value}
+}
+
+func answer(w http.ResponseWriter, code int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(code)
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+// keyOf returns the key that the path of a call names.
+func keyOf(r *http.Request) string {
+	name, err := url.PathUnescape(chi.URLParam(r, "*"))
+	if err != nil {
+		name = chi.URLParam(r, "*")
+	}
+	return chi.URLParam(r, "kind") + "/" + name
+}
+
 func (s *Store) get(w http.ResponseWriter, r *http.Request) {
 	if !s.enter(r.Context(), w, false) {
 		return
 	}
+	key := keyOf(r)
 	s.mu.Lock()
-	e, ok := newestAt(s.objects[chi.URLParam(r, "*")], s.faults.StaleBefore)
+	e, ok := newestAt(s.objects[key], s.faults.StaleBefore)
 	s.mu.Unlock()
 	if !ok {
 		http.Error(w, "not found", http.StatusNotFound)
 		return
 	}
-	w.Header().Set("ETag", quote(e.version))
-	_, _ = w.Write(e.value)
+	answer(w, http.StatusOK, objectOf(key, e))
 }
 
-func (s *Store) put(w http.ResponseWriter, r *http.Request) {
+func readBody(w http.ResponseWriter, r *http.Request) (object, bool) {
+	var o object
 	value, err := io.ReadAll(io.LimitReader(r.Body, platform.MaxValueBytes+1))
-	if err != nil || len(value) > platform.MaxValueBytes || !json.Valid(value) {
-		http.Error(w, "value must be JSON of at most 1 MB", http.StatusRequestEntityTooLarge)
-		return
+	if err != nil || len(value) > platform.MaxValueBytes || json.Unmarshal(value, &o) != nil {
+		http.Error(w, "object must be JSON of at most 1 MB", http.StatusRequestEntityTooLarge)
+		return o, false
+	}
+	return o, true
+}
+
+func (s *Store) create(w http.ResponseWriter, r *http.Request) {
+	if o, ok := readBody(w, r); ok {
+		key := chi.URLParam(r, "kind") + "/" + o.Meta.Name
+		s.change(w, r, key, entry{value: o.Spec}, func(_ entry, exists bool) int {
+			if exists {
+				return http.StatusConflict
+			}
+			return 0
+		})
+	}
+}
+
+func (s *Store) put(w http.ResponseWriter, r *http.Request) {
+	if o, ok := readBody(w, r); ok {
+		s.change(w, r, keyOf(r), entry{value: o.Spec}, holds(o.Meta.Rev))
 	}
-	s.change(w, r, entry{value: value})
 }
 
 func (s *Store) remove(w http.ResponseWriter, r *http.Request) {
-	s.change(w, r, entry{deleted: true})
+	rev, _ := strconv.ParseInt(r.URL.Query().Get("rev"), 10, 64)
+	s.change(w, r, keyOf(r), entry{deleted: true}, holds(rev))
+}
+
+// holds returns a check that an object exists and, unless rev is 0, has this
+// version. It answers with the status of the failure, 0 for none.
+func holds(rev int64) func(entry, bool) int {
+	return func(old entry, exists bool) int {
+		switch {
+		case !exists:
+			return http.StatusNotFound
+		case rev != 0 && rev != old.version:
+			return http.StatusConflict
+		}
+		return 0
+	}
 }
 
-func (s *Store) change(w http.ResponseWriter, r *http.Request, e entry) {
+func (s *Store) change(w http.ResponseWriter, r *http.Request, key string, e entry, check func(entry, bool) int) {
 	if !s.enter(r.Context(), w, true) {
 		return
 	}
-	key := chi.URLParam(r, "*")
 	s.mu.Lock()
 	old, exists := s.newest(key)
-	if !holds(r.Header, old.version, exists) {
+	if code := check(old, exists); code != 0 {
 		s.mu.Unlock()
-		http.Error(w, "condition does not hold", http.StatusPreconditionFailed)
+		if code == http.StatusConflict {
+			answer(w, code, objectOf(key, old))
+			return
+		}
+		http.Error(w, "condition does not hold", code)
 		return
 	}
-	v := s.write(key, e)
+	e.version = s.write(key, e)
 	lose := s.faults.LoseAnswers > 0
 	if lose {
 		s.faults.LoseAnswers--
@@ -240,32 +325,29 @@
 		// The connection breaks after the write took effect.
 		panic(http.ErrAbortHandler)
 	}
-	w.Header().Set("ETag", quote(v))
+	answer(w, http.StatusOK, objectOf(key, e))
 }
 
-func holds(h http.Header, version int64, exists bool) bool {
-	if h.Get("If-None-Match") == "*" && exists {
-		return false
-	}
-	m := h.Get("If-Match")
-	return m == "" || (exists && m == quote(version))
-}
-
-func quote(v int64) string { return `"` + strconv.FormatInt(v, 10) + `"` }
-
 func (s *Store) list(w http.ResponseWriter, r *http.Request) {
 	if !s.enter(r.Context(), w, false) {
 		return
 	}
 	q := r.URL.Query()
-	after, err := strconv.ParseInt(q.Get("after"), 10, 64)
-	watch := err == nil
-	deadline := watchDeadline(q.Get("deadlineUnixMs"))
+	kind := chi.URLParam(r, "kind") + "/"
+	after, err := strconv.ParseInt(q.Get("watch"), 10, 64)
+	if err != nil {
+		answer(w, http.StatusOK, s.items(kind, q.Get("after")))
+		return
+	}
+	deadline := watchDeadline(q.Get("waitMs"))
 	for {
-		l, changed := s.listing(q.Get("prefix"), after, watch)
-		if !watch || len(l.Objects) > 0 || !time.Now().Before(deadline) {
-			w.Header().Set("Content-Type", "application/json")
-			_ = json.NewEncoder(w).Encode(l)
+		p, gone, changed := s.events(kind, after)
+		if gone {
+			http.Error(w, "history is gone", http.StatusGone)
+			return
+		}
+		if len(p.Events) > 0 || !time.Now().Before(deadline) {
+			answer(w, http.StatusOK, p)
 			return
 		}
 		if !s.awaitChange(r.Context(), changed, deadline) {
@@ -296,36 +378,66 @@
 	return true
 }
 
-func watchDeadline(text string) time.Time {
-	limit := time.Now().Add(maxWatch)
-	ms, err := strconv.ParseInt(text, 10, 64)
+func watchDeadline(waitMs string) time.Time {
+	ms, err := strconv.ParseInt(waitMs, 10, 64)
 	if err != nil {
 		return time.Now()
 	}
-	if t := time.UnixMilli(ms); t.Before(limit) {
-		return t
-	}
-	return limit
+	return time.Now().Add(min(time.Duration(ms)*time.Millisecond, maxWatch))
 }
 
-func (s *Store) listing(prefix string, after int64, watch bool) (platform.Listing, <-chan struct{}) {
+// items returns one page of the objects of a kind, those after a name.
+func (s *Store) items(kind, after string) page {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l := platform.Listing{Version: s.version, Objects: []platform.Object{}}
-	stale := s.faults.StaleBefore
-	if stale != 0 {
-		l.Version = stale
+	p := page{Revision: s.version, Items: []object{}}
+	if s.faults.StaleBefore != 0 {
+		p.Revision = s.faults.StaleBefore
 	}
-	for k, list := range s.objects {
-		if !strings.HasPrefix(k, prefix) || len(list) == 0 {
-			continue
+	var keys []string
+	for k := range s.objects {
+		if strings.HasPrefix(k, kind) && k > kind+after {
+			keys = append(keys, k)
 		}
-		e, exists := newestAt(list, stale)
-		if e.version == 0 || (watch && e.version <= after) || (!watch && !exists) {
+	}
+	sort.Strings(keys)
+	for _, k := range keys {
+		e, ok := newestAt(s.objects[k], s.faults.StaleBefore)
+		if !ok {
 			continue
 		}
-		l.Objects = append(l.Objects, platform.Object{Key: k, Version: e.version, Value: e.value, Deleted: e.deleted})
+		if len(p.Items) == pageObjects {
+			p.Truncated = true
+			break
+		}
+		p.Items = append(p.Items, objectOf(k, e))
+	}
+	return p
+}
+
+// events returns the newest change of each object of a kind since a version.
+func (s *Store) events(kind string, after int64) (p page, gone bool, changed <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p = page{Revision: s.version, Events: []event{}}
+	if s.faults.StaleBefore != 0 {
+		p.Revision = s.faults.StaleBefore
+	}
+	for k, list := range s.objects {
+		e, _ := newestAt(list, s.faults.StaleBefore)
+		if strings.HasPrefix(k, kind) && e.version > after {
+			p.Events = append(p.Events, event{Deleted: e.deleted, Object: objectOf(k, e)})
+		}
 	}
-	sort.Slice(l.Objects, func(i, j int) bool { return l.Objects[i].Key < l.Objects[j].Key })
-	return l, s.changed
+	sort.Slice(p.Events, func(i, j int) bool { return p.Events[i].Object.Meta.Rev < p.Events[j].Object.Meta.Rev })
+	return p, after < s.forgotten, s.changed
+}
+
+// Forget drops the history so far: watches from before it are told so.
+func (s *Store) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forgotten = s.version
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
--- a/internal/vm/orders.go
+++ b/internal/vm/orders.go
@@ -10,7 +10,7 @@
 	"github.com/pimentohinge/pimentohinge/internal/control/orders"
 	"github.com/pimentohinge/pimentohinge/internal/control/rendezvous"
 	"github.com/pimentohinge/pimentohinge/internal/pause"
-	"github.com/pimentohinge/pimentohinge/internal/platform"
+	"github.com/pimentohinge/pimentohinge/platform"
 	"github.com/pimentohinge/pimentohinge/pkg/wire"
 )
 
--- a/internal/vm/watch.go
+++ b/internal/vm/watch.go
@@ -11,7 +11,7 @@
 
 	"github.com/pimentohinge/pimentohinge/internal/control"
 	"github.com/pimentohinge/pimentohinge/internal/pause"
-	"github.com/pimentohinge/pimentohinge/internal/platform"
+	"github.com/pimentohinge/pimentohinge/platform"
 	"github.com/pimentohinge/pimentohinge/pkg/wire"
 )
 
@@ -63,6 +63,10 @@
 		} else {
 			l, st = v.platform.Watch(ctx, prefix, after, time.Now().Add(watchTime))
 		}
+		if st == platform.Gone {
+			after = -1
+			continue
+		}
 		if st != platform.OK {
 			jitter := time.Duration(rand.Int64N(int64(wait)))
 			if !pause.For(ctx, wait/2+jitter) {
@@ -112,6 +116,7 @@
 func (s *lists) take(v *VM, prefix string) func(platform.Listing) {
 	return func(l platform.Listing) {
 		v.mu.Lock()
+		s.forget(l, prefix)
 		for _, o := range l.Objects {
 			s.apply(o)
 		}
@@ -124,6 +129,16 @@
 	}
 }
 
+// forget drops what a full listing does not hold any more.
+func (s *lists) forget(l platform.Listing, prefix string) {
+	switch {
+	case l.Full && prefix == keyBackends:
+		clear(s.backends)
+	case l.Full && prefix == keyVMs:
+		clear(s.vms)
+	}
+}
+
 func (s *lists) apply(o platform.Object) {
 	if name, ok := strings.CutPrefix(o.Key, keyBackends); ok {
 		put(s.backends, name, o)
