ingress: serve callers on the users' platform

Cause: no program of the product spoke the platform's requests, replicas, store and settings. Change: command gateway; platform/ holds names, formats and calls; catalog follows configuration and servers by waiting watch; dispatch places by what this VM knows; streams move in two phases to a server of the same data centre when their server leaves.

--- /dev/null
+++ b/cmd/pimentohinge/gateway.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/phuslu/log"
+	"github.com/rotisserie/eris"
+
+	"github.com/pimentohinge/pimentohinge/internal/ingress"
+	"github.com/pimentohinge/pimentohinge/internal/logline"
+	"github.com/pimentohinge/pimentohinge/internal/network"
+	"github.com/pimentohinge/pimentohinge/internal/settings"
+	"github.com/pimentohinge/pimentohinge/platform"
+)
+
+func init() {
+	register(command{name: "gateway", help: "Run an entry VM on the users' platform.", setup: func(c *kingpin.CmdClause) func() error {
+		file := c.Flag("settings", "Settings file; by default the one that the platform names.").Default(platform.SettingsPath()).String()
+		return func() error { return gateway(*file) }
+	}})
+}
+
+func gateway(file string) error {
+	g, err := settings.LoadGateway(file)
+	if err != nil {
+		return &exitError{code: exitUsage, err: err}
+	}
+	logger := logline.New(os.Stdout, g.Log.Level)
+	s := ingress.New(ingress.Options{Settings: g, Network: network.TCP{}, Log: logger})
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	if err := s.Start(); err != nil {
+		return err
+	}
+	awaitStop(signals, file, logger)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		awaitStop(signals, file, logger)
+		cancel()
+	}()
+	if !s.Stop(ctx) {
+		return eris.New("stopped before all requests had ended; the log line event=stopped says how many were cut")
+	}
+	return nil
+}
+
+// awaitStop returns at a signal to stop and reads the settings again at SIGHUP.
+func awaitStop(signals <-chan os.Signal, file string, logger *log.Logger) {
+	for sig := range signals {
+		if sig != syscall.SIGHUP {
+			return
+		}
+		g, err := settings.LoadGateway(file)
+		if err != nil {
+			logger.Error().Str("event", "reloadFailed").Str("reason", err.Error()).Msg("")
+			continue
+		}
+		logger.SetLevel(log.ParseLevel(g.Log.Level))
+		logger.Info().Str("event", "reloaded").Str("logLevel", g.Log.Level).Msg("")
+	}
+}
--- /dev/null
+++ b/internal/catalog/catalog.go
@@ -0,0 +1,228 @@
+// Package catalog follows the configuration and the list of backend servers in
+// the platform's store. What it has learned stays in use while the store is
+// away, and it never goes back to an older configuration.
+package catalog
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/pimentohinge/pimentohinge/internal/backend"
+	"github.com/pimentohinge/pimentohinge/internal/pause"
+	"github.com/pimentohinge/pimentohinge/internal/routing"
+	"github.com/pimentohinge/pimentohinge/platform"
+)
+
+const (
+	// watchWait bounds one waiting watch, and so the time for which a silent
+	// connection to the store goes unseen.
+	watchWait    = 3 * time.Second
+	firstPause   = 100 * time.Millisecond
+	longestPause = 800 * time.Millisecond
+	expireEvery  = 250 * time.Millisecond
+)
+
+// Options describes a catalog.
+type Options struct {
+	Store *platform.Client
+	Log   *log.Logger
+	// State is called with each newer configuration, Servers with each changed
+	// list, both from goroutines of the catalog.
+	State   func(*routing.State)
+	Servers func([]backend.Server)
+}
+
+// Catalog follows the store while Run runs.
+type Catalog struct {
+	opts  Options
+	state atomic.Pointer[routing.State]
+	// serversReadUnixMs is when the list of servers was last confirmed.
+	serversRead atomic.Int64
+	calls       atomic.Int64
+}
+
+// New returns a catalog that knows nothing yet.
+func New(o Options) *Catalog { return &Catalog{opts: o} }
+
+// State returns the newest configuration; nil before the first.
+func (c *Catalog) State() *routing.State { return c.state.Load() }
+
+// ServersReadAt is when the list of servers was last known to be current; zero
+// before the first.
+func (c *Catalog) ServersReadAt() time.Time {
+	ms := c.serversRead.Load()
+	if ms == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(ms)
+}
+
+// Calls returns how many calls to the store were made.
+func (c *Catalog) Calls() int64 { return c.calls.Load() }
+
+// Run follows the store until the context ends.
+func (c *Catalog) Run(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c.follow(ctx, follower{prefix: platform.ConfigKind, take: c.takeConfig, away: func() {}})
+	}()
+	list := &serverList{ctx: ctx, catalog: c, servers: NewServers(), messages: make(chan func())}
+	go list.run()
+	c.follow(ctx, follower{prefix: platform.ServerKind, take: list.take, away: list.away})
+	<-done
+}
+
+// follower takes what changes below a prefix.
+type follower struct {
+	prefix string
+	take   func(platform.Listing)
+	away   func()
+}
+
+// follow lists a prefix and then watches it.
+func (c *Catalog) follow(ctx context.Context, f follower) {
+	wait := firstPause
+	after := int64(-1)
+	lost := false
+	for ctx.Err() == nil {
+		l, st := c.next(ctx, f.prefix, after)
+		switch st {
+		case platform.OK:
+		case platform.Gone:
+			c.opts.Log.Info().Str("event", "historyGone").Str("prefix", f.prefix).Int64("after", after).Msg("")
+			after = -1
+			continue
+		default:
+			if ctx.Err() != nil {
+				return
+			}
+			if !lost {
+				lost = true
+				c.opts.Log.Warn().Str("event", "storeLost").Str("prefix", f.prefix).Str("status", st.String()).Int64("after", after).Msg("")
+			}
+			f.away()
+			if !pause.For(ctx, wait/2+time.Duration(rand.Int64N(int64(wait)))) {
+				return
+			}
+			wait = min(2*wait, longestPause)
+			continue
+		}
+		if lost {
+			lost = false
+			c.opts.Log.Info().Str("event", "storeRegained").Str("prefix", f.prefix).Int64("version", l.Version).Msg("")
+		}
+		wait = firstPause
+		if l.Unread > 0 {
+			c.opts.Log.Warn().Str("event", "entriesUnread").Str("prefix", f.prefix).Int("count", l.Unread).Msg("")
+		}
+		f.take(l)
+		after = max(after, l.Version)
+	}
+}
+
+func (c *Catalog) next(ctx context.Context, prefix string, after int64) (platform.Listing, platform.Status) {
+	c.calls.Add(1)
+	if after < 0 {
+		return c.opts.Store.List(ctx, prefix)
+	}
+	return c.opts.Store.Watch(ctx, prefix, after, time.Now().Add(watchWait))
+}
+
+func (c *Catalog) takeConfig(l platform.Listing) {
+	for _, o := range l.Objects {
+		if !platform.IsMain(o.Key) || o.Deleted {
+			continue
+		}
+		s, warnings, err := platform.ReadState(o.Value)
+		if err != nil {
+			c.opts.Log.Error().Str("event", "configUnread").Int64("storeVersion", o.Version).Str("reason", err.Error()).Msg("")
+			continue
+		}
+		old := c.state.Load()
+		if old != nil && s.Version <= old.Version {
+			continue
+		}
+		for _, w := range warnings {
+			c.opts.Log.Warn().Str("event", "configPartUnread").Int64("version", s.Version).Str("reason", w).Msg("")
+		}
+		c.state.Store(s)
+		c.opts.State(s)
+		c.opts.Log.Info().Str("event", "configInForce").Int64("version", s.Version).Int("routes", len(s.Routes)).
+			Int("services", len(s.Services)).Int("workspaces", len(s.Workspaces)).Int64("storeVersion", o.Version).Msg("")
+	}
+}
+
+// serverList owns the merged list; its goroutine alone touches it.
+type serverList struct {
+	ctx      context.Context
+	catalog  *Catalog
+	servers  *Servers
+	messages chan func()
+}
+
+func (s *serverList) run() {
+	t := time.NewTicker(expireEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case f := <-s.messages:
+			f()
+		case <-t.C:
+			s.publish(s.servers.Expire(time.Now()))
+		}
+	}
+}
+
+func (s *serverList) do(f func()) {
+	done := make(chan struct{})
+	select {
+	case s.messages <- func() { f(); close(done) }:
+		<-done
+	case <-s.ctx.Done():
+	}
+}
+
+func (s *serverList) take(l platform.Listing) {
+	s.do(func() {
+		now := time.Now()
+		s.catalog.serversRead.Store(now.UnixMilli())
+		s.publish(s.servers.Apply(now, l))
+	})
+}
+
+func (s *serverList) away() { s.do(func() { s.servers.StoreAway(time.Now()) }) }
+
+func (s *serverList) publish(changes []Entry) {
+	if len(changes) == 0 {
+		return
+	}
+	for _, e := range changes {
+		line := s.catalog.opts.Log.Info().Str("event", "server").Str("server", e.ID)
+		if e.Err != nil {
+			line.Str("belief", "unread").Str("reason", e.Err.Error()).Msg("")
+			continue
+		}
+		line.Str("service", e.Server.Service).Str("address", e.Server.Address).Str("dataCentre", e.Server.DataCentre).
+			Str("belief", e.belief()).Msg("")
+	}
+	s.catalog.opts.Servers(s.servers.List())
+}
+
+func (e Entry) belief() string {
+	switch {
+	case e.Gone:
+		return "gone"
+	case e.Lapsed:
+		return "lapsed"
+	case e.Server.Leaving:
+		return "leaving"
+	}
+	return "ready"
+}
--- /dev/null
+++ b/internal/control/dispatch/messages.go
@@ -0,0 +1,180 @@
+// Package dispatch decides which backend server gets a request, when a request
+// waits or is refused, when one may be repeated, and where running streams go
+// when their server leaves. It does no I/O: time is an argument.
+//
+// Load pattern: engines whose memory fills while answers of unknown length
+// grow, replicas that are taken away a second or two after their notice, and
+// several VMs that place at once without hearing of each other.
+package dispatch
+
+import (
+	"time"
+
+	"github.com/pimentohinge/pimentohinge/internal/backend"
+	"github.com/pimentohinge/pimentohinge/internal/outcome"
+	"github.com/pimentohinge/pimentohinge/internal/routing"
+)
+
+// Message is an input of the core.
+type Message interface{ message() }
+
+// ServicesChanged replaces what is known of the services.
+type ServicesChanged struct{ Services map[string]routing.Service }
+
+// ServersChanged replaces the list of backend servers.
+type ServersChanged struct{ Servers []backend.Server }
+
+// Ask asks for a server for a request. It is answered by Placed or Refused.
+type Ask struct {
+	// ID is unique among the open requests of this VM.
+	ID uint64
+	// Service is who serves the request.
+	Service string
+	// Kind says what may be repeated.
+	Kind routing.Kind
+	// Prompt and Output are lengths in tokens; Output is the caller's guess,
+	// or the most it accepts.
+	Prompt, Output int
+	// Priority orders waiting requests; 0 is the most urgent.
+	Priority int
+	// Goal is when the answer, or its first event, is wanted.
+	Goal time.Time
+	// Deadline is when the request ends at the latest.
+	Deadline time.Time
+	// Tried are servers that must not be chosen again.
+	Tried []string
+	// Repeat is set when a replica had the request before.
+	Repeat bool
+}
+
+// Started tells that the first byte of an answer came.
+type Started struct {
+	ID   uint64
+	Load *backend.Load
+}
+
+// Progress tells how many tokens of an answer have come.
+type Progress struct {
+	ID     uint64
+	Tokens int
+}
+
+// Verdict says how a server treated a request.
+type Verdict int
+
+// Verdicts.
+const (
+	// Served means that the server answered.
+	Served Verdict = iota
+	// Shed means that the server refused the request without running it.
+	Shed
+	// Failed means that the server answered with a failure or not at all.
+	Failed
+	// Unreached means that nothing could be sent to the server.
+	Unreached
+	// Withdrawn means that the caller left; it says nothing of the server.
+	Withdrawn
+)
+
+var verdictNames = [...]string{"served", "shed", "failed", "unreached", "withdrawn"}
+
+// String returns the name of the verdict.
+func (v Verdict) String() string { return verdictNames[v] }
+
+// Ended tells that a server has no more to do with a request.
+type Ended struct {
+	ID      uint64
+	Verdict Verdict
+	// Load is what the server said with its answer; nil if it did not.
+	Load *backend.Load
+}
+
+// Resumed tells that a stream goes on at the server that held its copy.
+type Resumed struct {
+	ID uint64
+}
+
+// WantTarget asks for a server that can take the memory of a stream. It is
+// answered by Target.
+type WantTarget struct {
+	ID uint64
+	// Refused are servers that had no room.
+	Refused []string
+}
+
+// DropTarget tells that the room held for a stream's copy is free again.
+type DropTarget struct{ ID uint64 }
+
+// Suspect tells that a server says by itself that it leaves.
+type Suspect struct{ Server string }
+
+// Tick lets time pass.
+type Tick struct{}
+
+func (ServicesChanged) message() {}
+func (ServersChanged) message()  {}
+func (Ask) message()             {}
+func (Started) message()         {}
+func (Progress) message()        {}
+func (Ended) message()           {}
+func (Resumed) message()         {}
+func (WantTarget) message()      {}
+func (DropTarget) message()      {}
+func (Suspect) message()         {}
+func (Tick) message()            {}
+
+// Action is an output of the core.
+type Action interface{ action() }
+
+// Placed gives a request to a server.
+type Placed struct {
+	ID     uint64
+	Server backend.Server
+	// Load and Why are the inputs of the choice, for the log.
+	Load View
+}
+
+// View is what the core believed of a server when it chose it.
+type View struct {
+	// Own and Others count requests of this and, as last heard, other VMs.
+	Own, Others int
+	// Tokens is the memory that is taken or promised; Capacity is all of it.
+	Tokens, Capacity int
+	// HeardAt is when the server last told its load; zero for never.
+	HeardAt time.Time
+}
+
+// Refused ends a request that no server got: NoReplica, MemoryFull or
+// RetryBudget.
+type Refused struct {
+	ID    uint64
+	Cause outcome.Cause
+	// RetryAt is when room is expected.
+	RetryAt time.Time
+}
+
+// Rescue asks to move streams away from a server that leaves.
+type Rescue struct {
+	Server backend.Server
+	// Runs is in the order in which they should move.
+	Runs []RunAtRisk
+}
+
+// RunAtRisk is a stream on a server that leaves.
+type RunAtRisk struct {
+	ID uint64
+	// Tokens is its memory; Remaining the tokens that are still expected.
+	Tokens, Remaining int
+}
+
+// Target answers WantTarget.
+type Target struct {
+	ID     uint64
+	Found  bool
+	Server backend.Server
+}
+
+func (Placed) action()  {}
+func (Refused) action() {}
+func (Rescue) action()  {}
+func (Target) action()  {}
--- /dev/null
+++ b/internal/control/dispatch/place.go
@@ -0,0 +1,227 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pimentohinge/pimentohinge/internal/outcome"
+	"github.com/pimentohinge/pimentohinge/internal/routing"
+)
+
+const (
+	// failureMemory is the weight of the past in a server's share of failures.
+	failureMemory = 0.9
+	// ejectShare is the share of failures from which on a server is avoided.
+	ejectShare = 0.5
+	// shedPause keeps requests from a server that was full a moment ago.
+	shedPause = 150 * time.Millisecond
+	// unreachedPause keeps requests from a server that could not be reached.
+	unreachedPause = 1500 * time.Millisecond
+	// heardFor is how long a server's word on its load is used.
+	heardFor = 5 * time.Second
+	// overrunShare: an answer longer than guessed grows by a fourth more.
+	overrunShare = 4
+	// plainWork is the guess for one request of a plain service.
+	plainWork = 40 * time.Millisecond
+	// prefillRate is the guess for how many prompt tokens are read in a ms.
+	prefillRate = 14
+	// stepCost is what one more running request adds to each token.
+	stepCost = 2 * time.Millisecond
+	// fullCost makes a server without room the last choice.
+	fullCost = 20 * time.Second
+	// coldCost is added while a server is slow after its start.
+	coldCost = 50 * time.Millisecond
+	// avoidCost is added while a server is avoided.
+	avoidCost = 60 * time.Second
+	// regionTrip is a round trip to another region, dataCentreTrip one to
+	// another data centre of the region.
+	regionTrip     = 60 * time.Millisecond
+	dataCentreTrip = time.Millisecond
+	// strayCost weighs a stream's server in another region, from which it
+	// cannot move in time, or in another data centre.
+	strayCost = 400 * time.Millisecond
+)
+
+// ask places a request or refuses it.
+func (c *Core) ask(now time.Time, a Ask) {
+	b := c.budget(a.Service)
+	if a.Repeat && !b.allows(now) {
+		c.act(Refused{ID: a.ID, Cause: outcome.RetryBudget, RetryAt: now.Add(time.Second)})
+		return
+	}
+	r := &run{Ask: a, placedAt: now}
+	s := c.choose(now, r, a.Tried)
+	if s == nil {
+		c.act(Refused{ID: a.ID, Cause: outcome.NoReplica, RetryAt: now.Add(time.Second)})
+		return
+	}
+	if a.Repeat {
+		b.repeats.add(now, 1)
+	} else {
+		b.requests.add(now, 1)
+	}
+	c.act(Placed{ID: a.ID, Server: s.Server, Load: c.view(now, s)})
+	r.on = s
+	s.runs[a.ID] = r
+	c.runs[a.ID] = r
+}
+
+// choose returns the server on which a request is expected to be served first,
+// or nil when the service has none.
+func (c *Core) choose(now time.Time, r *run, tried []string) *server {
+	var best *server
+	var least time.Duration
+	for _, s := range c.servers {
+		if s.Service != r.Service || s.Leaving || slices.Contains(tried, s.ID) {
+			continue
+		}
+		cost := c.cost(now, s, r)
+		if best == nil || cost < least || cost == least && s.ID < best.ID {
+			best, least = s, cost
+		}
+	}
+	return best
+}
+
+// cost is the time that a request loses at a server, as far as known.
+func (c *Core) cost(now time.Time, s *server, r *run) time.Duration {
+	cost := c.distance(s, r.Kind)
+	if now.Before(s.ColdUntil) {
+		cost += coldCost
+	}
+	if now.Before(s.avoidUntil) {
+		cost += avoidCost
+	}
+	if s.fails > ejectShare {
+		cost += avoidCost
+	}
+	if e := c.services[s.Service].Engine; e != nil {
+		return cost + c.engineCost(now, s, r, e)
+	}
+	busy := len(s.runs) + s.othersNow(now)
+	cost += time.Duration(s.fails * float64(regionTrip))
+	if over := busy + 1 - s.Slots; over > 0 {
+		cost += time.Duration(over) * plainWork / time.Duration(s.Slots)
+	}
+	return cost + time.Duration(busy)*time.Millisecond
+}
+
+func (c *Core) distance(s *server, k routing.Kind) time.Duration {
+	switch {
+	case s.DataCentre == c.opts.DataCentre:
+		return 0
+	case k != routing.Streaming && c.opts.Regions[s.DataCentre] == c.opts.Regions[c.opts.DataCentre]:
+		return dataCentreTrip
+	case c.opts.Regions[s.DataCentre] == c.opts.Regions[c.opts.DataCentre]:
+		return dataCentreTrip + strayCost/2
+	case k == routing.Streaming:
+		return regionTrip + strayCost
+	}
+	return regionTrip
+}
+
+func (c *Core) engineCost(now time.Time, s *server, r *run, e *routing.Engine) time.Duration {
+	v := c.view(now, s)
+	cost := time.Duration(v.Own+v.Others) * stepCost
+	for _, x := range s.runs {
+		if !x.started {
+			cost += time.Duration(x.Prompt) * time.Millisecond / prefillRate
+		}
+	}
+	if over := v.Tokens + r.peak() - e.CapacityTokens; over > 0 {
+		// The fuller, the later: where none has room the emptiest is best.
+		cost += fullCost * time.Duration(over) / time.Duration(max(1, e.CapacityTokens))
+		cost += strayCost
+	}
+	if v.Own+v.Others >= e.Slots {
+		cost += fullCost
+	}
+	return cost
+}
+
+// othersNow is how many requests of other VMs a server has, as last heard.
+func (s *server) othersNow(now time.Time) int {
+	if now.Sub(s.heardAt) > heardFor {
+		return 0
+	}
+	return s.others
+}
+
+// view sums up what is believed of a server.
+func (c *Core) view(now time.Time, s *server) View {
+	v := View{Own: len(s.runs), Others: s.othersNow(now), HeardAt: s.heardAt}
+	e := c.services[s.Service].Engine
+	if e == nil {
+		return v
+	}
+	v.Capacity = e.CapacityTokens
+	for _, r := range s.runs {
+		v.Tokens += (r.tokens() + r.peak()) / 2
+	}
+	mean := c.meanTokens(s.Service)
+	v.Tokens += v.Others * mean
+	for _, r := range s.copies {
+		v.Tokens += (r.tokens() + r.peak()) / 2
+	}
+	return v
+}
+
+// meanTokens is the mean memory of this VM's requests of a service, which
+// stands in for those of other VMs.
+func (c *Core) meanTokens(service string) int {
+	sum, n := 0, 0
+	for _, r := range c.runs {
+		if r.Service == service {
+			sum += r.tokens()
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / n
+}
+
+// wantTarget finds a server for the copy of a stream and holds room there.
+func (c *Core) wantTarget(now time.Time, m WantTarget) {
+	r, ok := c.runs[m.ID]
+	if !ok {
+		c.act(Target{ID: m.ID})
+		return
+	}
+	r.dropTarget()
+	var best *server
+	var least time.Duration
+	for _, s := range c.servers {
+		if s.Service != r.Service || s.Leaving || s.noticed || s == r.on || slices.Contains(m.Refused, s.ID) {
+			continue
+		}
+		cost := c.targetCost(now, s, r)
+		if best == nil || cost < least || cost == least && s.ID < best.ID {
+			best, least = s, cost
+		}
+	}
+	if best == nil {
+		c.act(Target{ID: m.ID})
+		return
+	}
+	r.target = best
+	best.copies[r.ID] = r
+	c.act(Target{ID: m.ID, Found: true, Server: best.Server})
+}
+
+// targetCost is what a stream loses by moving to a server: transfers beyond
+// the data centre of its memory come too late, transfers to one server queue.
+func (c *Core) targetCost(now time.Time, s *server, r *run) time.Duration {
+	cost := c.cost(now, s, r) - c.distance(s, r.Kind)
+	if s.DataCentre != r.on.DataCentre {
+		cost += strayCost
+		if c.opts.Regions[s.DataCentre] != c.opts.Regions[r.on.DataCentre] {
+			cost += strayCost
+		}
+	}
+	return cost + time.Duration(len(s.copies))*copyCost
+}
+
+// copyCost is the time of one copy on the link of a server.
+const copyCost = 150 * time.Millisecond
--- a/internal/control/lease/lease.go
+++ b/internal/control/lease/lease.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"github.com/pimentohinge/pimentohinge/internal/planted"
-	"github.com/pimentohinge/pimentohinge/platform"
 	"github.com/pimentohinge/pimentohinge/pkg/wire"
+	"github.com/pimentohinge/pimentohinge/platform"
 )
 
 // Options describes a role as one VM sees it.
--- a/internal/control/lease/lease_test.go
+++ b/internal/control/lease/lease_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/pimentohinge/pimentohinge/internal/control/lease"
 	"github.com/pimentohinge/pimentohinge/internal/planted"
-	"github.com/pimentohinge/pimentohinge/platform"
 	"github.com/pimentohinge/pimentohinge/pkg/wire"
+	"github.com/pimentohinge/pimentohinge/platform"
 )
 
 const (
--- /dev/null
+++ b/internal/ingress/desk.go
@@ -0,0 +1,98 @@
+package ingress
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pimentohinge/pimentohinge/internal/control/dispatch"
+)
+
+const (
+	deskQueue = 1024
+	tickEvery = 20 * time.Millisecond
+)
+
+// desk owns the decision core: one goroutine gives it messages and hands its
+// actions to those who wait for them.
+type desk struct {
+	core     *dispatch.Core
+	messages chan dispatch.Message
+	// rescue is called from the desk's goroutine and does not block.
+	rescue func(dispatch.Rescue)
+
+	mu      sync.Mutex
+	waiting map[uint64]chan dispatch.Action
+}
+
+func newDesk(core *dispatch.Core, rescue func(dispatch.Rescue)) *desk {
+	return &desk{
+		core: core, rescue: rescue, messages: make(chan dispatch.Message, deskQueue),
+		waiting: map[uint64]chan dispatch.Action{},
+	}
+}
+
+func (d *desk) run(ctx context.Context) {
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+	for {
+		var m dispatch.Message = dispatch.Tick{}
+		select {
+		case <-ctx.Done():
+			return
+		case m = <-d.messages:
+		case <-t.C:
+		}
+		for _, a := range d.core.Step(time.Now(), m) {
+			d.act(a)
+		}
+	}
+}
+
+func (d *desk) act(a dispatch.Action) {
+	switch a := a.(type) {
+	case dispatch.Placed:
+		d.answer(a.ID, a)
+	case dispatch.Refused:
+		d.answer(a.ID, a)
+	case dispatch.Target:
+		d.answer(targetKey(a.ID), a)
+	case dispatch.Rescue:
+		d.rescue(a)
+	}
+}
+
+// targetKey keeps apart the two questions that one request may have open.
+func targetKey(id uint64) uint64 { return id | 1<<63 }
+
+func (d *desk) answer(key uint64, a dispatch.Action) {
+	d.mu.Lock()
+	ch, ok := d.waiting[key]
+	delete(d.waiting, key)
+	d.mu.Unlock()
+	if ok {
+		ch <- a
+	}
+}
+
+// tell gives the core a message.
+func (d *desk) tell(m dispatch.Message) { d.messages <- m }
+
+// await gives the core a message and waits for the answer under a key. It
+// reports false when the context ended first.
+func (d *desk) await(ctx context.Context, key uint64, m dispatch.Message) (dispatch.Action, bool) {
+	ch := make(chan dispatch.Action, 1)
+	d.mu.Lock()
+	d.waiting[key] = ch
+	d.mu.Unlock()
+	d.tell(m)
+	select {
+	case a := <-ch:
+		return a, true
+	case <-ctx.Done():
+	}
+	d.mu.Lock()
+	delete(d.waiting, key)
+	d.mu.Unlock()
+	return nil, false
+}
--- /dev/null
+++ b/internal/ingress/events.go
@@ -0,0 +1,62 @@
+package ingress
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"strconv"
+
+	"github.com/rotisserie/eris"
+)
+
+const maxEventBytes = 1 << 20
+
+var errEventTooLong = eris.New("event too long")
+
+// event is one whole event of a stream as it came.
+type event struct {
+	// raw includes the empty line at the end.
+	raw []byte
+	// id is the event's number; numbered is false when it has none.
+	id       int64
+	numbered bool
+}
+
+// eventReader splits a stream into whole events.
+type eventReader struct{ r *bufio.Reader }
+
+func newEventReader(r io.Reader) *eventReader {
+	return &eventReader{r: bufio.NewReaderSize(r, 2<<10)}
+}
+
+// next returns the next whole event. io.EOF means that the stream ended after a
+// whole event; io.ErrUnexpectedEOF that it ended inside one.
+func (e *eventReader) next() (event, error) {
+	var ev event
+	start := 0 // of the line being read
+	for {
+		piece, err := e.r.ReadSlice('\n')
+		ev.raw = append(ev.raw, piece...)
+		if len(ev.raw) > maxEventBytes {
+			return event{}, errEventTooLong
+		}
+		if err == bufio.ErrBufferFull {
+			continue
+		}
+		if err == io.EOF && len(ev.raw) > 0 {
+			return event{}, io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return event{}, err
+		}
+		text := bytes.TrimRight(ev.raw[start:], "\r\n")
+		start = len(ev.raw)
+		if len(text) == 0 {
+			return ev, nil
+		}
+		if v, ok := bytes.CutPrefix(text, []byte("id:")); ok {
+			n, err := strconv.ParseInt(string(bytes.TrimSpace(v)), 10, 64)
+			ev.id, ev.numbered = n, err == nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/ingress/ingress.go
@@ -0,0 +1,328 @@
+// Package ingress serves callers on the users' platform: it takes their
+// requests through a chain of filters, sends them to backend servers and
+// relays the answers.
+package ingress
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rotisserie/eris"
+
+	"github.com/pimentohinge/pimentohinge/internal/backend"
+	"github.com/pimentohinge/pimentohinge/internal/catalog"
+	"github.com/pimentohinge/pimentohinge/internal/control/dispatch"
+	"github.com/pimentohinge/pimentohinge/internal/network"
+	"github.com/pimentohinge/pimentohinge/internal/pause"
+	"github.com/pimentohinge/pimentohinge/internal/replica"
+	"github.com/pimentohinge/pimentohinge/internal/routing"
+	"github.com/pimentohinge/pimentohinge/internal/settings"
+	"github.com/pimentohinge/pimentohinge/platform"
+)
+
+const (
+	sweepEvery = time.Second
+	// stopMargin is left of the grace for the process to end by itself.
+	stopMargin = 400 * time.Millisecond
+	// rotationTime is how long the balancer may still send connections after
+	// readiness is withdrawn: two probes and their interval.
+	rotationTime = 3 * time.Second
+	// quietTime without a request ends a stop early.
+	quietTime = 500 * time.Millisecond
+)
+
+// Options describes a server.
+type Options struct {
+	// Settings is checked already.
+	Settings settings.Gateway
+	Network  network.Network
+	Log      *log.Logger
+}
+
+// Server is one entry VM on the users' platform.
+type Server struct {
+	opts    Options
+	log     *log.Logger
+	ctx     context.Context // ends when the server has stopped
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+	catalog *catalog.Catalog
+	desk    *desk
+	pool    *replica.Pool
+	metrics *metrics
+	front   *front
+
+	lastID   atomic.Uint64
+	open     atomic.Int64
+	lastUse  atomic.Int64 // Unix ms of the last end of a request
+	stopping atomic.Bool
+	stopAt   atomic.Int64 // Unix ms at which open requests are cut
+
+	mu      sync.Mutex
+	streams map[uint64]*stream
+	servers map[string]backend.Server
+}
+
+// New prepares a server. Start opens it.
+func New(o Options) *Server {
+	ctx, cancel := context.WithCancel(context.Background())
+	b := o.Settings.Bounds
+	s := &Server{
+		opts: o, log: o.Log, ctx: ctx, cancel: cancel, pool: replica.New(o.Network),
+		metrics: newMetrics(), streams: map[uint64]*stream{}, servers: map[string]backend.Server{},
+	}
+	core := dispatch.New(dispatch.Options{
+		DataCentre: o.Settings.VM.DataCentre, Regions: o.Settings.DataCentres,
+		RetryRatio: b.RetryRatio * retryShareOfRatio, RetryWindow: time.Duration(b.RetryWindowS * float64(time.Second)),
+		RetryShare: b.RetrySlack / assumedVMs,
+	})
+	s.desk = newDesk(core, s.rescue)
+	s.catalog = catalog.New(catalog.Options{
+		Store: platform.New("http://"+o.Settings.Store.Address, network.Client(o.Network)), Log: o.Log,
+		State: s.takeState, Servers: s.takeServers,
+	})
+	s.front = newFront(s.handler(), s.spawn)
+	return s
+}
+
+const (
+	// retryShareOfRatio keeps a part of the shared ratio in reserve, as the
+	// VMs count their windows apart.
+	retryShareOfRatio = 0.75
+	// assumedVMs divides the fixed part of the retry budget.
+	assumedVMs = 10
+)
+
+// Start opens the listeners and starts all work. The error names the address
+// that could not be opened.
+func (s *Server) Start() error {
+	l := s.opts.Settings.Listen
+	ready := http.NewServeMux()
+	ready.HandleFunc("GET "+platform.PathReady, s.ready)
+	ready.Handle("GET /metrics", promhttp.HandlerFor(s.metrics.registry, promhttp.HandlerOpts{}))
+	readyListener, err := s.opts.Network.Listen(l.Ready)
+	if err != nil {
+		return eris.Wrapf(err, "listen for readiness at %s", l.Ready)
+	}
+	callers, err := s.opts.Network.Listen(l.Callers)
+	if err != nil {
+		_ = readyListener.Close()
+		return eris.Wrapf(err, "listen for callers at %s", l.Callers)
+	}
+	side := &http.Server{Handler: ready, ReadHeaderTimeout: sideTimeout}
+	s.spawn(func() { _ = side.Serve(readyListener) })
+	context.AfterFunc(s.ctx, func() { _ = side.Close(); _ = callers.Close() })
+	s.spawn(func() { s.front.accept(callers) })
+	s.spawn(func() { s.desk.run(s.ctx) })
+	s.spawn(func() { s.catalog.Run(s.ctx) })
+	s.spawn(s.sweep)
+	v := s.opts.Settings.VM
+	s.log.Info().Str("event", "started").Str("vm", v.Name).Str("dataCentre", v.DataCentre).
+		Str("callers", l.Callers).Str("ready", l.Ready).Str("store", s.opts.Settings.Store.Address).Msg("")
+	return nil
+}
+
+const sideTimeout = 2 * time.Second
+
+func (s *Server) spawn(f func()) {
+	s.wg.Add(1)
+	go func() {
+		defer s.wg.Done()
+		f()
+	}()
+}
+
+func (s *Server) sweep() {
+	for pause.For(s.ctx, sweepEvery) {
+		s.pool.Sweep(time.Now())
+	}
+}
+
+// ready answers the balancer's question.
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	if s.stopping.Load() || s.catalog.State() == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (s *Server) takeState(state *routing.State) {
+	s.front.limits(state.Limits)
+	s.desk.tell(dispatch.ServicesChanged{Services: state.Services})
+	s.metrics.config.Set(float64(state.Version))
+}
+
+func (s *Server) takeServers(list []backend.Server) {
+	s.mu.Lock()
+	old := s.servers
+	s.servers = map[string]backend.Server{}
+	for _, x := range list {
+		s.servers[x.ID] = x
+	}
+	var gone []string
+	for id, x := range old {
+		if now, ok := s.servers[id]; !ok || !now.Same(x) {
+			gone = append(gone, x.Address)
+		}
+	}
+	s.mu.Unlock()
+	for _, address := range gone {
+		s.pool.Drop(address)
+	}
+	s.desk.tell(dispatch.ServersChanged{Servers: list})
+}
+
+// Stop withdraws readiness, ends open requests within the grace that is left
+// and closes everything. It reports false when requests were cut off.
+func (s *Server) Stop(ctx context.Context) bool {
+	began := time.Now()
+	end := began.Add(time.Duration(s.opts.Settings.Bounds.GraceS*float64(time.Second)) - stopMargin)
+	s.stopAt.Store(end.UnixMilli())
+	s.stopping.Store(true)
+	s.log.Info().Str("event", "stopping").Int64("open", s.open.Load()).Time("until", end).Msg("")
+	for time.Now().Before(end) {
+		now := time.Now()
+		quiet := now.UnixMilli()-s.lastUse.Load() > quietTime.Milliseconds()
+		if now.Sub(began) > rotationTime && s.open.Load() == 0 && quiet {
+			break
+		}
+		if !pause.For(ctx, 20*time.Millisecond) {
+			break
+		}
+	}
+	cut := s.open.Load()
+	s.log.Info().Str("event", "stopped").Int64("cut", cut).Int64("connectionsOpened", s.pool.Opened()).
+		Int64("storeCalls", s.catalog.Calls()).Msg("")
+	s.Kill()
+	return cut == 0
+}
+
+// Kill ends everything at once.
+func (s *Server) Kill() {
+	s.cancel()
+	s.front.close()
+	s.wg.Wait()
+}
+
+// Registry returns the metrics.
+func (s *Server) Registry() *prometheus.Registry { return s.metrics.registry }
+
+// front serves callers' connections with the limits in force.
+type front struct {
+	handler http.Handler
+	spawn   func(func())
+
+	mu      sync.Mutex
+	current *feed
+	inForce routing.Limits
+	feeds   []*feed
+	closed  bool
+}
+
+// feed is a listener that is given its connections.
+type feed struct {
+	server *http.Server
+	conns  chan net.Conn
+	done   chan struct{}
+	once   sync.Once
+}
+
+func (f *feed) Accept() (net.Conn, error) {
+	select {
+	case c := <-f.conns:
+		return c, nil
+	case <-f.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (f *feed) Close() error {
+	f.once.Do(func() { close(f.done) })
+	return nil
+}
+
+func (*feed) Addr() net.Addr { return &net.TCPAddr{} }
+
+const (
+	defaultHeaderBytes   = 16 << 10
+	defaultHeaderTimeout = 3 * time.Second
+	defaultIdleTimeout   = 15 * time.Second
+)
+
+func newFront(h http.Handler, spawn func(func())) *front {
+	f := &front{handler: h, spawn: spawn}
+	f.replace(routing.Limits{})
+	return f
+}
+
+// limits applies new limits to connections that come from now on.
+func (f *front) limits(l routing.Limits) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if l.HeaderBytes == f.inForce.HeaderBytes && l.HeaderTimeout == f.inForce.HeaderTimeout &&
+		l.IdleTimeout == f.inForce.IdleTimeout {
+		return
+	}
+	f.inForce = l
+	f.replace(l)
+}
+
+func (f *front) replace(l routing.Limits) {
+	if f.closed {
+		return
+	}
+	server := &http.Server{
+		Handler: f.handler, MaxHeaderBytes: defaultHeaderBytes,
+		ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
+	}
+	if l.HeaderBytes > 0 {
+		server.MaxHeaderBytes = l.HeaderBytes
+	}
+	if l.HeaderTimeout > 0 {
+		server.ReadHeaderTimeout = l.HeaderTimeout
+	}
+	if l.IdleTimeout > 0 {
+		server.IdleTimeout = l.IdleTimeout
+	}
+	f.current = &feed{server: server, conns: make(chan net.Conn), done: make(chan struct{})}
+	f.feeds = append(f.feeds, f.current)
+	feed := f.current
+	f.spawn(func() { _ = server.Serve(feed) })
+}
+
+// accept hands new connections to the server with the newest limits.
+func (f *front) accept(ln net.Listener) {
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		f.mu.Lock()
+		current := f.current
+		f.mu.Unlock()
+		select {
+		case current.conns <- c:
+		case <-current.done:
+			_ = c.Close()
+		}
+	}
+}
+
+func (f *front) close() {
+	f.mu.Lock()
+	f.closed = true
+	feeds := f.feeds
+	f.mu.Unlock()
+	for _, x := range feeds {
+		_ = x.server.Close()
+		_ = x.Close()
+	}
+}
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -58,6 +58,9 @@
 	VMStopping       Cause = "vmStopping"
 	VMLost           Cause = "vmLost"
 	WeightStoreRate  Cause = "weightStoreRate"
+	NotReady         Cause = "notReady"
+	SlowBody         Cause = "slowBody"
+	BrokenAnswer     Cause = "brokenAnswer"
 )
 
 // Outcome is the end of a request as a value.
@@ -120,6 +123,9 @@
 	ServiceLost:      {http.StatusBadGateway, "The service died or could not be reached."},
 	VMStopping:       {http.StatusServiceUnavailable, "The entry VM was stopping."},
 	VMLost:           {http.StatusBadGateway, "The entry VM died."},
+	NotReady:         {http.StatusServiceUnavailable, "The entry VM had no configuration yet."},
+	SlowBody:         {http.StatusRequestTimeout, "The body of the request did not arrive in time."},
+	BrokenAnswer:     {http.StatusBadGateway, "The backend server sent what is no answer to the request, or broke it off."},
 	WeightStoreRate:  {http.StatusServiceUnavailable, "The model's weights were still loading at the weight store's rate."},
 }
 
--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -82,6 +82,10 @@
 		v.SetBool(b)
 	case reflect.Int:
 		walkInt(key, raw, v, c)
+	case reflect.Float64:
+		walkFloat(key, raw, v, c)
+	case reflect.Map:
+		walkMap(key, raw, v, c)
 	default:
 		panic("settings: unsupported field kind " + v.Kind().String())
 	}
@@ -101,6 +105,35 @@
 	v.SetInt(i)
 }
 
+func walkFloat(key string, raw any, v reflect.Value, c *collector) {
+	n, ok := raw.(json.Number)
+	if !ok {
+		c.add(key, "must be a number, not %s", kindOf(raw))
+		return
+	}
+	f, err := n.Float64()
+	if err != nil {
+		c.add(key, "must be a number, not %s", n)
+		return
+	}
+	v.SetFloat(f)
+}
+
+func walkMap(key string, raw any, v reflect.Value, c *collector) {
+	m, ok := raw.(map[string]any)
+	if !ok {
+		c.add(key, "must be an object, not %s", kindOf(raw))
+		return
+	}
+	out := reflect.MakeMap(v.Type())
+	for name, e := range m {
+		x := reflect.New(v.Type().Elem()).Elem()
+		walk(join(key, name), e, x, c)
+		out.SetMapIndex(reflect.ValueOf(name), x)
+	}
+	v.Set(out)
+}
+
 func walkSlice(key string, raw any, v reflect.Value, c *collector) {
 	list, ok := raw.([]any)
 	if !ok {
--- a/internal/vm/explain.go
+++ b/internal/vm/explain.go
@@ -10,8 +10,8 @@
 	"github.com/pimentohinge/pimentohinge/internal/control"
 	"github.com/pimentohinge/pimentohinge/internal/incident"
 	"github.com/pimentohinge/pimentohinge/internal/pause"
-	"github.com/pimentohinge/pimentohinge/platform"
 	"github.com/pimentohinge/pimentohinge/pkg/wire"
+	"github.com/pimentohinge/pimentohinge/platform"
 )
 
 const (
--- a/internal/vm/release.go
+++ b/internal/vm/release.go
@@ -12,8 +12,8 @@
 	"github.com/pimentohinge/pimentohinge/internal/operator"
 	"github.com/pimentohinge/pimentohinge/internal/pause"
 	"github.com/pimentohinge/pimentohinge/internal/planted"
-	"github.com/pimentohinge/pimentohinge/platform"
 	"github.com/pimentohinge/pimentohinge/pkg/wire"
+	"github.com/pimentohinge/pimentohinge/platform"
 )
 
 const (
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -25,11 +25,11 @@
 	"github.com/pimentohinge/pimentohinge/internal/operator"
 	"github.com/pimentohinge/pimentohinge/internal/peer"
 	"github.com/pimentohinge/pimentohinge/internal/planted"
-	"github.com/pimentohinge/pimentohinge/platform"
 	"github.com/pimentohinge/pimentohinge/internal/service"
 	"github.com/pimentohinge/pimentohinge/internal/settings"
 	"github.com/pimentohinge/pimentohinge/internal/ticket"
 	"github.com/pimentohinge/pimentohinge/pkg/wire"
+	"github.com/pimentohinge/pimentohinge/platform"
 )
 
 const (
--- a/internal/vm/watch.go
+++ b/internal/vm/watch.go
@@ -11,8 +11,8 @@
 
 	"github.com/pimentohinge/pimentohinge/internal/control"
 	"github.com/pimentohinge/pimentohinge/internal/pause"
-	"github.com/pimentohinge/pimentohinge/platform"
 	"github.com/pimentohinge/pimentohinge/pkg/wire"
+	"github.com/pimentohinge/pimentohinge/platform"
 )
 
 // Keys of the platform's objects.
