--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -90,7 +90,7 @@
 	after := int64(-1)
 	lost := false
 	for ctx.Err() == nil {
-		l, st := c.next(ctx, f.prefix, after)
+		l, st := c.next(ctx, f.prefix, after, lost)
 		switch st {
 		case platform.OK:
 		case platform.Gone:
@@ -125,12 +125,18 @@
 	}
 }
 
-func (c *Catalog) next(ctx context.Context, prefix string, after int64) (platform.Listing, platform.Status) {
+// next makes one call. A store that was lost is asked for an answer at once:
+// one that is silent must not hold a waiting watch beyond its return.
+func (c *Catalog) next(ctx context.Context, prefix string, after int64, lost bool) (platform.Listing, platform.Status) {
 	c.calls.Add(1)
 	if after < 0 {
 		return c.opts.Store.List(ctx, prefix)
 	}
-	return c.opts.Store.Watch(ctx, prefix, after, time.Now().Add(watchWait))
+	wait := watchWait
+	if lost {
+		wait = 0
+	}
+	return c.opts.Store.Watch(ctx, prefix, after, time.Now().Add(wait))
 }
 
 func (c *Catalog) takeConfig(l platform.Listing) {
