rescue: keep copies fresh and resume from them when the server is gone

A stream that began during the notice was not moved. Change: streams run on until their server is gone and are resumed from a copy that is brought up to date every 400 ms; they are stopped only at a server that is still there after 2.4 s. Targets of the same data centre are tried first. A stream whose answer begins on a leaving server is moved too. Streams are still lost where no copy found room or time.

--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -165,6 +165,10 @@
 	r.started = true
 	r.on.heard(now, m.Load)
 	r.on.fails *= failureMemory
+	if r.on.noticed && r.Kind == routing.Streaming {
+		// It was on its way when the notice came.
+		c.act(Rescue{Server: r.on.Server, Runs: []RunAtRisk{{ID: r.ID, Tokens: r.tokens(), Remaining: r.remaining()}}})
+	}
 }
 
 // heard takes what a server says of its load.
--- a/internal/control/dispatch/place.go
+++ b/internal/control/dispatch/place.go
@@ -211,17 +211,22 @@
 }
 
 // targetCost is what a stream loses by moving to a server: transfers beyond
-// the data centre of its memory come too late, transfers to one server queue.
+// the data centre of its memory come too late, so that a server there that may
+// be full is tried first; transfers to one server queue.
 func (c *Core) targetCost(now time.Time, s *server, r *run) time.Duration {
 	cost := c.cost(now, s, r) - c.distance(s, r.Kind)
 	if s.DataCentre != r.on.DataCentre {
-		cost += strayCost
+		cost += farTarget
 		if c.opts.Regions[s.DataCentre] != c.opts.Regions[r.on.DataCentre] {
-			cost += strayCost
+			cost += farTarget
 		}
 	}
 	return cost + time.Duration(len(s.copies))*copyCost
 }
 
-// copyCost is the time of one copy on the link of a server.
-const copyCost = 150 * time.Millisecond
+const (
+	// copyCost is the time of one copy on the link of a server.
+	copyCost = 150 * time.Millisecond
+	// farTarget exceeds every cost of a server that can be reached.
+	farTarget = time.Hour
+)
--- a/internal/ingress/filters.go
+++ b/internal/ingress/filters.go
@@ -166,17 +166,27 @@
 	return pass()
 }
 
-// stopGate refuses what a stopping VM could not finish.
+// stopGate refuses what a stopping VM could not finish, so that the caller gets
+// it whole from another VM. While connections still come a stream is taken that
+// likely ends in time; later only one that surely does.
 func (s *Server) stopGate(q *request) (outcome.Outcome, bool) {
 	if !s.stopping.Load() {
 		return pass()
 	}
+	now := time.Now()
+	end := time.UnixMilli(s.stopAt.Load())
 	needs := plainTime
 	if q.route.Kind == routing.Streaming {
-		needs = streamStart + time.Duration(q.outputGuess())*tokenTime
+		tokens := q.outputGuess()
+		if now.After(end.Add(stopMargin - s.grace() + rotationTime)) {
+			tokens = max(tokens, q.ask.MaxTokens)
+		}
+		needs = streamStart + time.Duration(tokens)*tokenTime
 	}
-	if time.Now().Add(needs).UnixMilli() > s.stopAt.Load() {
-		return end(outcome.VMStopping, "needs "+needs.String(), shortRetry)
+	if now.Add(needs).After(end) {
+		o := outcome.Refuse(outcome.VMStopping, "needs "+needs.String())
+		o.RetryAt = now.Add(shortRetry)
+		return o, false
 	}
 	return pass()
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -68,6 +68,8 @@
 	mu      sync.Mutex
 	streams map[uint64]*stream
 	servers map[string]backend.Server
+	// evacuations are the servers that leave, by ID and address.
+	evacuations map[string]*evacuation
 }
 
 // New prepares a server. Start opens it.
@@ -77,6 +79,7 @@
 	s := &Server{
 		opts: o, log: o.Log, ctx: ctx, cancel: cancel, pool: replica.New(o.Network),
 		metrics: newMetrics(), streams: map[uint64]*stream{}, servers: map[string]backend.Server{},
+		evacuations: map[string]*evacuation{},
 	}
 	core := dispatch.New(dispatch.Options{
 		DataCentre: o.Settings.VM.DataCentre, Regions: o.Settings.DataCentres,
@@ -184,7 +187,7 @@
 // and closes everything. It reports false when requests were cut off.
 func (s *Server) Stop(ctx context.Context) bool {
 	began := time.Now()
-	end := began.Add(time.Duration(s.opts.Settings.Bounds.GraceS*float64(time.Second)) - stopMargin)
+	end := began.Add(s.grace() - stopMargin)
 	s.stopAt.Store(end.UnixMilli())
 	s.stopping.Store(true)
 	s.log.Info().Str("event", "stopping").Int64("open", s.open.Load()).Time("until", end).Msg("")
@@ -205,6 +208,11 @@
 	return cut == 0
 }
 
+// grace is the time from a stop signal to the kill.
+func (s *Server) grace() time.Duration {
+	return time.Duration(s.opts.Settings.Bounds.GraceS * float64(time.Second))
+}
+
 // Kill ends everything at once.
 func (s *Server) Kill() {
 	s.cancel()
--- a/internal/ingress/rescue.go
+++ b/internal/ingress/rescue.go
@@ -8,77 +8,142 @@
 
 	"github.com/pimentohinge/pimentohinge/internal/backend"
 	"github.com/pimentohinge/pimentohinge/internal/control/dispatch"
+	"github.com/pimentohinge/pimentohinge/internal/control/rescue"
 	"github.com/pimentohinge/pimentohinge/internal/pause"
 	"github.com/pimentohinge/pimentohinge/internal/replica"
 	"github.com/pimentohinge/pimentohinge/platform"
 )
 
 const (
-	// handoverAfter is when streams stop at a server that leaves, from its
-	// notice on; replicas stay for 1.5 s and more.
-	handoverAfter = 1000 * time.Millisecond
 	// copyTimeout bounds one copy.
 	copyTimeout = 3 * time.Second
 	callTimeout = time.Second
-	// copiesAtOnce is how many streams of one server are copied at once.
-	copiesAtOnce = 2
 	// maxTargets bounds the servers that are tried for one copy.
-	maxTargets = 3
+	maxTargets = 4
+	// evacuationKept is how long a server that left is remembered.
+	evacuationKept = 10 * time.Second
 )
 
+// evacuation moves this VM's streams away from one server that leaves.
+type evacuation struct {
+	from backend.Server
+	link rescue.Link
+	plan rescue.Plan
+	// turn lets one long copy at a time be asked for.
+	turn chan struct{}
+}
+
 // rescue starts to move streams away from a server that leaves. It is called
 // by the desk and does not block.
 func (s *Server) rescue(a dispatch.Rescue) {
-	noticed := time.Now()
-	s.log.Info().Str("event", "serverLeaves").Str("server", a.Server.ID).Str("dataCentre", a.Server.DataCentre).
-		Int("streams", len(a.Runs)).Msg("")
+	e := s.evacuation(a.Server)
 	if len(a.Runs) == 0 {
 		return
 	}
-	slots := make(chan struct{}, copiesAtOnce)
 	s.spawn(func() {
 		for _, r := range a.Runs {
-			slots <- struct{}{}
 			s.mu.Lock()
 			st := s.streams[r.ID]
 			s.mu.Unlock()
 			if st == nil {
-				<-slots
+				// It has no answer yet: the core tells again once it starts.
 				continue
 			}
-			s.spawn(func() { s.move(st, a.Server, noticed, func() { <-slots }) })
+			s.spawn(func() { s.move(st, e, r.Tokens) })
+			// Keeps the order in which the turns are asked for.
+			pause.For(s.ctx, time.Millisecond)
+		}
+	})
+}
+
+// evacuation returns the evacuation of a server, which begins with its first
+// use.
+func (s *Server) evacuation(from backend.Server) *evacuation {
+	key := from.ID + "@" + from.Address
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e, ok := s.evacuations[key]; ok {
+		return e
+	}
+	e := &evacuation{from: from, turn: make(chan struct{}, 1), plan: rescue.Plan{Noticed: time.Now()}}
+	if state := s.catalog.State(); state != nil {
+		if x := state.Services[from.Service].Engine; x != nil {
+			e.link = rescue.Link{Mbps: x.LinkMbps, TokenBytes: x.TokenBytes}
 		}
+	}
+	s.evacuations[key] = e
+	s.log.Info().Str("event", "serverLeaves").Str("server", from.ID).Str("dataCentre", from.DataCentre).Msg("")
+	time.AfterFunc(evacuationKept, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.evacuations, key)
 	})
+	return e
 }
 
-// move copies the memory of a stream while it runs, and then hands it over.
-func (s *Server) move(st *stream, from backend.Server, noticed time.Time, copied func()) {
-	if !st.beginMove(from) {
-		copied()
+// move copies the memory of a stream while it runs and keeps the copy fresh,
+// from which the stream is resumed when its server is gone. At a server that
+// stays the stream is stopped in the end and handed over.
+func (s *Server) move(st *stream, e *evacuation, tokens int) {
+	if !st.beginMove(e.from) {
 		return
 	}
-	h := s.firstCopy(st, from)
-	copied()
-	if h.ok {
-		pause.Until(st.q.ctx, noticed.Add(handoverAfter))
-		h = s.lastCopy(st, from, h)
+	h := s.firstCopy(st, e, tokens)
+	if !h.ok && st.runsUntil(e.plan.Handover()) {
+		h = s.firstCopy(st, e, tokens)
 	}
-	st.mu.Lock()
-	ended := st.ended
-	st.mu.Unlock()
-	if ended {
-		// The stream ended by itself: its copy only takes room.
-		if h.ok {
-			s.dropCopy(&copyOf{target: h.to, memory: h.memory, source: from})
-		}
+	if !h.ok {
+		st.endMove(e.from)
+		s.desk.tell(dispatch.DropTarget{ID: st.q.id})
+		return
+	}
+	if !s.keepFresh(st, e, h) || !st.stop(e.from) {
+		return
+	}
+	h = s.lastCopy(st, e.from, h)
+	if st.hasEnded() {
+		s.dropCopy(&copyOf{target: h.to, memory: h.memory, source: e.from})
 		return
 	}
 	st.moved <- h
-	if !h.ok {
-		st.mu.Lock()
+}
+
+// stop marks a stream as stopped for its last copy. It reports false when the
+// stream does not run at a server any more.
+func (st *stream) stop(from backend.Server) bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if st.ended || st.isBroken() || !st.on.Same(from) {
+		return false
+	}
+	st.stopped = true
+	return true
+}
+
+func (st *stream) hasEnded() bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.ended
+}
+
+// keep notes a copy as the newest. It reports false when the stream does not
+// need it any more.
+func (st *stream) keep(c *copyOf) bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if st.ended || !st.on.Same(c.source) {
+		return false
+	}
+	st.copied = c
+	return true
+}
+
+// endMove allows another rescue of a stream at a server.
+func (st *stream) endMove(from backend.Server) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if st.on.Same(from) {
 		st.moving = false
-		st.mu.Unlock()
-		s.desk.tell(dispatch.DropTarget{ID: st.q.id})
 	}
 }
 
@@ -98,24 +163,31 @@
 }
 
 // firstCopy copies the memory to a server with room while the stream goes on.
-func (s *Server) firstCopy(st *stream, from backend.Server) handover {
+func (s *Server) firstCopy(st *stream, e *evacuation, tokens int) handover {
+	select {
+	case e.turn <- struct{}{}:
+	case <-st.q.ctx.Done():
+		return handover{}
+	}
+	defer func() { <-e.turn }()
 	var refused []string
 	for range maxTargets {
-		a, ok := s.desk.await(st.q.ctx, targetKey(st.q.id), dispatch.WantTarget{ID: st.q.id, Refused: refused})
-		target, _ := a.(dispatch.Target)
-		if !ok || !target.Found {
+		target, ok := s.target(st, refused)
+		if !ok || !e.plan.MayCopy(time.Now(), tokens, e.link, s.way(e.from, target)) {
 			return handover{}
 		}
-		m := s.callMove(st, from, target.Server, false)
+		m := s.callMove(st, e.from, target, false)
 		switch m.Result {
 		case platform.Copied:
-			h := handover{to: target.Server, memory: platform.Memory{Address: from.Address, Handle: m.Handle}, ok: true}
-			st.mu.Lock()
-			st.copied = &copyOf{target: h.to, memory: h.memory, source: from}
-			st.mu.Unlock()
+			h := handover{to: target, memory: platform.Memory{Address: e.from.Address, Handle: m.Handle}, ok: true}
+			c := &copyOf{target: h.to, memory: h.memory, source: e.from}
+			if !st.keep(c) {
+				s.dropCopy(c)
+				return handover{}
+			}
 			return h
 		case platform.NoRoom:
-			refused = append(refused, target.Server.ID)
+			refused = append(refused, target.ID)
 		default:
 			return handover{}
 		}
@@ -123,6 +195,44 @@
 	return handover{}
 }
 
+// way is how far a copy between two servers goes.
+func (s *Server) way(from, to backend.Server) rescue.Way {
+	regions := s.opts.Settings.DataCentres
+	switch {
+	case from.DataCentre == to.DataCentre:
+		return rescue.Local
+	case regions[from.DataCentre] == regions[to.DataCentre]:
+		return rescue.Near
+	}
+	return rescue.Far
+}
+
+// target asks the core for a server that can take a stream.
+func (s *Server) target(st *stream, refused []string) (backend.Server, bool) {
+	a, ok := s.desk.await(st.q.ctx, targetKey(st.q.id), dispatch.WantTarget{ID: st.q.id, Refused: refused})
+	t, _ := a.(dispatch.Target)
+	return t.Server, ok && t.Found
+}
+
+// keepFresh brings a copy up to date until the stream breaks or ends. It
+// reports true when the server is still there at the time of the handover.
+func (s *Server) keepFresh(st *stream, e *evacuation, h handover) bool {
+	for {
+		now := time.Now()
+		at := e.plan.NextRefresh(now)
+		if handover := e.plan.Handover(); at.After(handover) {
+			return st.runsUntil(handover)
+		}
+		if !st.runsUntil(at) {
+			return false
+		}
+		if m := s.callMove(st, e.from, h.to, false); m.Result == platform.Copied && m.Handle != h.memory.Handle {
+			h.memory.Handle = m.Handle
+			st.keep(&copyOf{target: h.to, memory: h.memory, source: e.from})
+		}
+	}
+}
+
 // lastCopy stops the stream at its server and copies what is new.
 func (s *Server) lastCopy(st *stream, from backend.Server, first handover) handover {
 	m := s.callMove(st, from, first.to, true)
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -42,9 +42,14 @@
 	on backend.Server
 	// copied is the newest complete copy of the memory and where it lies.
 	copied *copyOf
-	// moving is set while a rescue is under way; its result is sent on moved.
+	// stopped is set while the stream is stopped for its last copy; the result
+	// is sent on moved.
+	stopped bool
+	moved   chan handover
+	// moving is set while a rescue is under way.
 	moving bool
-	moved  chan handover
+	// broken is closed when the stream breaks at its server or ends.
+	broken chan struct{}
 	// ended is set when the relay needs no memory any more.
 	ended bool
 }
@@ -71,9 +76,10 @@
 		return o
 	}
 	defer func() { answer.Close() }()
-	st := &stream{q: q, on: x, moved: make(chan handover, 1)}
+	st := &stream{q: q, on: x, moved: make(chan handover, 1), broken: make(chan struct{})}
 	s.track(st)
 	defer s.untrack(st)
+	s.desk.tell(dispatch.Started{ID: q.id, Load: answer.Says.Load})
 	s.beginStream(q, answer)
 	for {
 		err := s.relay(st, answer)
@@ -158,7 +164,6 @@
 		return nil, result{ran: true, verdict: dispatch.Failed, err: err}
 	}
 	if a.Status == http.StatusOK && a.Says.Events && a.Says.Stamped && !a.Says.Encoded {
-		s.desk.tell(dispatch.Started{ID: q.id, Load: a.Says.Load})
 		return a, result{}
 	}
 	defer a.Close()
@@ -248,9 +253,10 @@
 	st.ended = true
 	left := st.copied
 	st.copied = nil
-	moving := st.moving
+	stopped := st.stopped
+	st.breakOff()
 	st.mu.Unlock()
-	if left != nil && !moving {
+	if left != nil && !stopped {
 		s.spawn(func() { s.dropCopy(left) })
 	}
 }
@@ -293,19 +299,21 @@
 	q.server = h.to.ID
 	st.mu.Lock()
 	st.on = h.to
-	st.copied, st.moving = nil, false
+	st.copied, st.moving, st.stopped = nil, false, false
+	st.broken = make(chan struct{})
 	st.mu.Unlock()
 	s.desk.tell(dispatch.Resumed{ID: q.id})
 	return a, true
 }
 
-// awaitHandover waits for the end of a rescue that is under way. Without one
-// the newest copy is taken.
+// awaitHandover waits for the last copy when the stream was stopped for it.
+// Otherwise the newest copy is taken.
 func (st *stream) awaitHandover(ctx context.Context) handover {
 	st.mu.Lock()
-	moving := st.moving
+	stopped := st.stopped
+	st.breakOff()
 	st.mu.Unlock()
-	if moving {
+	if stopped {
 		t := time.NewTimer(handoverWait)
 		defer t.Stop()
 		select {
@@ -324,3 +332,37 @@
 	}
 	return handover{to: st.copied.target, memory: st.copied.memory, ok: true}
 }
+
+// breakOff wakes those who wait for the stream to break. st.mu is held.
+func (st *stream) breakOff() {
+	if !st.isBroken() {
+		close(st.broken)
+	}
+}
+
+// isBroken reports whether the stream broke. st.mu is held.
+func (st *stream) isBroken() bool {
+	select {
+	case <-st.broken:
+		return true
+	default:
+		return false
+	}
+}
+
+// runsUntil reports whether the stream runs at its server until a moment.
+func (st *stream) runsUntil(at time.Time) bool {
+	st.mu.Lock()
+	broken := st.broken
+	st.mu.Unlock()
+	t := time.NewTimer(time.Until(at))
+	defer t.Stop()
+	select {
+	case <-broken:
+		return false
+	case <-st.q.ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
