--- a/internal/ingress/plain.go
+++ b/internal/ingress/plain.go
@@ -62,7 +62,7 @@
 		if last.ran {
 			runs++
 		}
-		if last.good() || q.ctx.Err() != nil || !s.mayRepeat(q, last, runs) {
+		if last.good() || q.over() || !s.mayRepeat(q, last, runs) {
 			break
 		}
 		tried = append(tried, placed.Server.ID)
@@ -111,6 +111,9 @@
 	return dispatch.Placed{}, outcome.Refuse(outcome.NoReplica, ""), false
 }
 
+// over reports whether the request's time is up or its caller has left.
+func (q *request) over() bool { return q.ctx.Err() != nil || !time.Now().Before(q.deadline) }
+
 // ageMs is how long ago a moment was, or -1 for never.
 func ageMs(t time.Time) int64 {
 	if t.IsZero() {
@@ -218,7 +221,7 @@
 	}
 	o := refusal
 	switch {
-	case q.ctx.Err() != nil:
+	case q.over():
 		o = s.timeUp(q, runs > 0)
 	case runs > 0:
 		o = outcome.Outcome{Kind: outcome.Unknown, Cause: outcome.ServiceLost}
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -88,7 +88,7 @@
 			s.desk.tell(dispatch.Ended{ID: q.id, Verdict: dispatch.Served})
 			return outcome.Done(q.events)
 		}
-		if q.ctx.Err() != nil {
+		if q.over() {
 			return s.cutStream(st, s.timeUp(q, true), dispatch.Withdrawn)
 		}
 		next, ok := s.resume(st, err)
@@ -136,7 +136,7 @@
 			s.log.Warn().Str("event", "sendFailed").Str("request", q.ask.Attempt).Str("server", x.ID).
 				Str("verdict", r.verdict.String()).Bool("ran", r.ran).Str("reason", eris.ToString(r.err, false)).Msg("")
 		}
-		if r.ran || q.ctx.Err() != nil {
+		if r.ran || q.over() {
 			return nil, x, s.giveUp(q, r, boolInt(r.ran), outcome.Outcome{}), false
 		}
 		tried = append(tried, x.ID)
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -34,6 +34,9 @@
 type Faults struct {
 	// Outage refuses every call without effect.
 	Outage bool `json:"outage"`
+	// Silent leaves every call without an answer and without effect, also after
+	// the silence has ended.
+	Silent bool `json:"silent"`
 	// DelayMs is added before each call takes effect, in milliseconds.
 	DelayMs int `json:"delayMs"`
 	// LoseAnswers is how many further writes take effect but lose their answer.
@@ -184,6 +187,10 @@
 	if f.DelayMs > 0 && !pause.For(ctx, time.Duration(f.DelayMs)*time.Millisecond) {
 		return false
 	}
+	if f.Silent {
+		<-ctx.Done()
+		return false
+	}
 	if f.Outage {
 		http.Error(w, "outage", http.StatusServiceUnavailable)
 		return false
@@ -353,17 +360,21 @@
 		if !s.awaitChange(r.Context(), changed, deadline) {
 			return
 		}
-		if s.out() {
+		switch f := s.inForce(); {
+		case f.Silent:
+			<-r.Context().Done()
+			return
+		case f.Outage:
 			http.Error(w, "outage", http.StatusServiceUnavailable)
 			return
 		}
 	}
 }
 
-func (s *Store) out() bool {
+func (s *Store) inForce() Faults {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.faults.Outage
+	return s.faults
 }
 
 func (s *Store) awaitChange(ctx context.Context, changed <-chan struct{}, deadline time.Time) bool {
--- /dev/null
+++ b/test/gateway/plain_test.go
@@ -0,0 +1,169 @@
+// Package gateway_test plays an entry VM against stand-ins of the users'
+// platform, on virtual time.
+package gateway_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/pimentohinge/pimentohinge/internal/standin/upstream"
+)
+
+// onReplica makes one replica fail the first request that reaches it.
+func firstOnly(f upstream.Fault) func(string) upstream.Fault {
+	used := false
+	return func(string) upstream.Fault {
+		if used {
+			return upstream.None
+		}
+		used = true
+		return f
+	}
+}
+
+func always(f upstream.Fault) func(string) upstream.Fault {
+	return func(string) upstream.Fault { return f }
+}
+
+// TestFaultsOfPlainReplicas plays each fault of a replica against each kind of
+// request: what may be repeated is, and what may not is answered truthfully.
+func TestFaultsOfPlainReplicas(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		fault          upstream.Fault
+		path           string
+		status, runs   int
+		servedByOthers bool
+	}{
+		{"safeFails", upstream.Fails, "/safe/", 200, 2, true},
+		{"safeSheds", upstream.Sheds, "/safe/", 200, 1, true},
+		{"safeLosesAnswer", upstream.LosesAnswer, "/safe/", 200, 2, true},
+		{"safeTruncates", upstream.Truncates, "/safe/", 200, 2, true},
+		{"safeGarbage", upstream.SendsGarbage, "/safe/", 200, 2, true},
+		{"safeHangs", upstream.Hangs, "/safe/", 200, 2, true},
+		{"safeExtra", upstream.SendsExtra, "/safe/", 200, 1, false},
+		{"safeUnframed", upstream.Unframed, "/safe/", 200, 1, false},
+		{"unsafeFails", upstream.Fails, "/unsafe/", 500, 1, false},
+		{"unsafeSheds", upstream.Sheds, "/unsafe/", 200, 1, true},
+		{"unsafeLosesAnswer", upstream.LosesAnswer, "/unsafe/", 502, 1, false},
+		{"unsafeTruncates", upstream.Truncates, "/unsafe/", 502, 1, false},
+		{"unsafeGarbage", upstream.SendsGarbage, "/unsafe/", 502, 1, false},
+		{"unsafeHangs", upstream.Hangs, "/unsafe/", 504, 1, false},
+		{"unsafeExtra", upstream.SendsExtra, "/unsafe/", 200, 1, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			run(t, func(t *testing.T, w *world) {
+				w.plain("p-1", firstOnly(c.fault))
+				w.plain("p-2", nil)
+				began := time.Now()
+				a := w.call(t.Context(), http.MethodGet, c.path+"x", "a1", nil)
+				if a.err != nil || a.status != c.status {
+					t.Fatalf("status %d, %v", a.status, a.err)
+				}
+				if took := time.Since(began); took > 1600*time.Millisecond {
+					t.Errorf("took %v, beyond the route's timeout", took)
+				}
+				runs := w.grid.Runs("a1")
+				if len(runs) != c.runs {
+					t.Fatalf("%d runs", len(runs))
+				}
+				if c.status == 200 {
+					if diff := cmp.Diff(upstream.Body("a1"), a.body); diff != "" {
+						t.Error(diff)
+					}
+					if last := runs[len(runs)-1].Replica; (last == "p-2") != c.servedByOthers {
+						t.Errorf("served by %s", last)
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestExtraAnswersReachNobody sends many requests over connections on which a
+// replica lets answers of nobody follow.
+func TestExtraAnswersReachNobody(t *testing.T) {
+	run(t, func(t *testing.T, w *world) {
+		n := 0
+		w.plain("p-1", func(string) upstream.Fault {
+			n++
+			if n%3 == 1 {
+				return upstream.SendsExtra
+			}
+			return upstream.None
+		})
+		for i := range 12 {
+			id := "a" + string(rune('a'+i))
+			a := w.call(t.Context(), http.MethodGet, "/safe/x", id, nil)
+			if a.status == 200 && a.body != upstream.Body(id) {
+				t.Errorf("request %s got %q", id, a.body)
+			}
+			if a.status != 200 {
+				t.Errorf("request %s got status %d", id, a.status)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	})
+}
+
+// TestWhatAReplicaIsShown checks the headers that only the system may set.
+func TestWhatAReplicaIsShown(t *testing.T) {
+	run(t, func(t *testing.T, w *world) {
+		w.plain("p-1", nil)
+		a := w.call(t.Context(), http.MethodGet, "/safe/x", "a1", http.Header{
+			"X-Pimentohinge-Tenant": {"intruder"}, "X-Pimentohinge-Expect-Instance": {"other"},
+			"X-Pimentohinge-Deadline-Ms": {"700"},
+		})
+		if a.status != 200 {
+			t.Fatalf("status %d", a.status)
+		}
+		got := w.grid.Runs("a1")[0]
+		if got.Workspace != "acme" || got.Key != "" || got.LeftMs > 700 || got.LeftMs < 600 {
+			t.Errorf("shown workspace %q, key %q, %d ms left", got.Workspace, got.Key, got.LeftMs)
+		}
+	})
+}
+
+func TestRefusalsOfOurOwn(t *testing.T) {
+	run(t, func(t *testing.T, w *world) {
+		w.plain("p-1", nil)
+		for _, c := range []struct {
+			path, key string
+			status    int
+		}{
+			{"/nowhere/x", key, 404},
+			{"/safe/x", "unknown", 401},
+			{"/safe/x", key, 200},
+			{"/report/x", key, 503}, // no engine is there
+		} {
+			a := w.call(t.Context(), http.MethodGet, c.path, "a1", http.Header{"Authorization": {"Token " + c.key}})
+			if a.status != c.status {
+				t.Errorf("%s with %s: status %d, want %d", c.path, c.key, a.status, c.status)
+			}
+			if c.status == 503 && a.header.Get("Retry-After") == "" {
+				t.Error("refused without advice when to come back")
+			}
+		}
+	})
+}
+
+// TestCallerLeaves closes a request whose replica hangs: the work must end
+// within half a second.
+func TestCallerLeaves(t *testing.T) {
+	run(t, func(t *testing.T, w *world) {
+		w.plain("p-1", always(upstream.Hangs))
+		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+		defer cancel()
+		left := time.Now().Add(300 * time.Millisecond)
+		w.call(ctx, http.MethodGet, "/unsafe/x", "a1", nil)
+		time.Sleep(500 * time.Millisecond)
+		runs := w.grid.Runs("a1")
+		if len(runs) != 1 || runs[0].Ended.IsZero() || runs[0].Ended.After(left.Add(500*time.Millisecond)) {
+			t.Errorf("runs %+v", runs)
+		}
+	})
+}
