--- a/test/gateway/store_test.go
+++ b/test/gateway/store_test.go
@@ -56,12 +56,13 @@
 // change that is made right after the store was silent is in force within the
 // bound of 3 s, whichever call was open when it returned.
 func TestSilentStoreReturns(t *testing.T) {
-	for _, silent := range []time.Duration{6000, 7300, 8000, 8400, 8800, 9100} {
+	for _, ms := range []int{6000, 7300, 8000, 8400, 8800, 9100} {
+		silent := time.Duration(ms) * time.Millisecond
 		t.Run(silent.String(), func(t *testing.T) {
 			run(t, func(t *testing.T, w *world) {
 				w.plain("p-1", nil)
 				w.store.SetFaults(store.Faults{Silent: true})
-				time.Sleep(silent * time.Millisecond)
+				time.Sleep(silent)
 				w.store.SetFaults(store.Faults{})
 				w.configure(9, added)
 				time.Sleep(3 * time.Second)
--- a/test/gateway/world_test.go
+++ b/test/gateway/world_test.go
@@ -138,7 +138,7 @@
 	}
 	routes := []object{
 		route("r-safe", "/safe/", "safe", "plain", 2, 1500),
-		route("r-unsafe", "/unsafe/", "unsafe", "plain", 1, 1500),
+		route("r-unsafe", "/unsafe/", "unsafe", "plain", 2, 1500),
 		route("r-report", "/report/", "streaming", "engine", 1, 39000),
 	}
 	if extra != nil {
