catalog: watch through reads from the past and confirm them every two seconds

Change: a calm watch takes answers that may be old, at a tenth of the price; an exact read confirms it every 2 s, and for 15 s after a failure or a dropped history all reads are exact. So the catalog is at most 2 s old plus one call.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -21,6 +21,13 @@
 	// watchWait bounds one waiting watch, and so the time for which a silent
 	// connection to the store goes unseen.
 	watchWait    = 3 * time.Second
+	// exactEvery bounds how old the catalog may be through reads that the store
+	// answers from the past, which cost a tenth; well below the 3 s in which a
+	// change must be in force.
+	exactEvery = 2 * time.Second
+	// mistrust is how long only exact reads are made after a call that failed or
+	// a history that was dropped.
+	mistrust     = 15 * time.Second
 	firstPause   = 100 * time.Millisecond
 	longestPause = 800 * time.Millisecond
 	expireEvery  = 250 * time.Millisecond
@@ -43,10 +50,11 @@
 	// serversReadUnixMs is when the list of servers was last confirmed.
 	serversRead atomic.Int64
 	calls       atomic.Int64
+	stale       *platform.Client
 }
 
 // New returns a catalog that knows nothing yet.
-func New(o Options) *Catalog { return &Catalog{opts: o} }
+func New(o Options) *Catalog { return &Catalog{opts: o, stale: o.Store.Stale()} }
 
 // State returns the newest configuration; nil before the first.
 func (c *Catalog) State() *routing.State { return c.state.Load() }
@@ -84,26 +92,45 @@
 	away   func()
 }
 
+// cursor is how far a prefix was followed.
+type cursor struct {
+	// after is the version up to which all is known; negative before the first
+	// listing.
+	after int64
+	// lost is set while the store does not answer.
+	lost bool
+	// exactAt is when the last exact read was answered, mistrustUntil the end of
+	// the time in which only exact reads are made.
+	exactAt, mistrustUntil time.Time
+}
+
+// exact reports whether the next read must not be answered from the past.
+func (c *cursor) exact(now time.Time) bool {
+	return c.after < 0 || c.lost || now.Before(c.mistrustUntil) || now.Sub(c.exactAt) >= exactEvery
+}
+
 // follow lists a prefix and then watches it.
 func (c *Catalog) follow(ctx context.Context, f follower) {
 	wait := firstPause
-	after := int64(-1)
-	lost := false
+	at := &cursor{after: -1}
 	for ctx.Err() == nil {
-		l, st := c.next(ctx, f.prefix, after, lost)
+		exact := at.exact(time.Now())
+		l, st := c.next(ctx, f.prefix, at, exact)
+		now := time.Now()
 		switch st {
 		case platform.OK:
 		case platform.Gone:
-			c.opts.Log.Info().Str("event", "historyGone").Str("prefix", f.prefix).Int64("after", after).Msg("")
-			after = -1
+			c.opts.Log.Info().Str("event", "historyGone").Str("prefix", f.prefix).Int64("after", at.after).Msg("")
+			at.after = -1
+			at.mistrustUntil = now.Add(mistrust)
 			continue
 		default:
 			if ctx.Err() != nil {
 				return
 			}
-			if !lost {
-				lost = true
-				c.opts.Log.Warn().Str("event", "storeLost").Str("prefix", f.prefix).Str("status", st.String()).Int64("after", after).Msg("")
+			if !at.lost {
+				at.lost = true
+				c.opts.Log.Warn().Str("event", "storeLost").Str("prefix", f.prefix).Str("status", st.String()).Int64("after", at.after).Msg("")
 			}
 			f.away()
 			if !pause.For(ctx, wait/2+time.Duration(rand.Int64N(int64(wait)))) {
@@ -112,31 +139,38 @@
 			wait = min(2*wait, longestPause)
 			continue
 		}
-		if lost {
-			lost = false
+		if at.lost {
+			at.lost = false
+			at.mistrustUntil = now.Add(mistrust)
 			c.opts.Log.Info().Str("event", "storeRegained").Str("prefix", f.prefix).Int64("version", l.Version).Msg("")
 		}
+		if exact {
+			at.exactAt = now
+		}
 		wait = firstPause
 		if l.Unread > 0 {
 			c.opts.Log.Warn().Str("event", "entriesUnread").Str("prefix", f.prefix).Int("count", l.Unread).Msg("")
 		}
 		f.take(l)
-		after = max(after, l.Version)
+		at.after = max(at.after, l.Version)
 	}
 }
 
 // next makes one call. A store that was lost is asked for an answer at once:
-// one that is silent must not hold a waiting watch beyond its return.
-func (c *Catalog) next(ctx context.Context, prefix string, after int64, lost bool) (platform.Listing, platform.Status) {
+// one that is silent must not hold a waiting watch beyond its return. So is one
+// whose word from the past has to be confirmed.
+func (c *Catalog) next(ctx context.Context, prefix string, at *cursor, exact bool) (platform.Listing, platform.Status) {
 	c.calls.Add(1)
-	if after < 0 {
+	now := time.Now()
+	switch {
+	case at.after < 0:
 		return c.opts.Store.List(ctx, prefix)
+	case !exact:
+		return c.stale.Watch(ctx, prefix, at.after, at.exactAt.Add(exactEvery))
+	case now.Before(at.mistrustUntil) && !at.lost:
+		return c.opts.Store.Watch(ctx, prefix, at.after, now.Add(watchWait))
 	}
-	wait := watchWait
-	if lost {
-		wait = 0
-	}
-	return c.opts.Store.Watch(ctx, prefix, after, time.Now().Add(wait))
+	return c.opts.Store.Watch(ctx, prefix, at.after, now)
 }
 
 func (c *Catalog) takeConfig(l platform.Listing) {
