dispatch: count what the VMs of a region tell each other

Change: each VM tells the VMs of its data centre what it has placed, by engine, when it changes (WebSocket, CBOR; at most every 20 ms, to other data centres of the region every 250 ms); the key of the links is an object in the store. The time between exact reads follows the bounds of the deployment. Losing the links costs balance only.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -21,10 +21,10 @@
 	// watchWait bounds one waiting watch, and so the time for which a silent
 	// connection to the store goes unseen.
 	watchWait    = 3 * time.Second
-	// exactEvery bounds how old the catalog may be through reads that the store
-	// answers from the past, which cost a tenth; well below the 3 s in which a
-	// change must be in force.
-	exactEvery = 2 * time.Second
+	// exactShare is the share of the bound on a change after which reads that
+	// the store answers from the past, at a tenth of the price, are confirmed by
+	// an exact one. The rest is for that call and the next.
+	exactShare = 2.0 / 3
 	// mistrust is how long only exact reads are made after a call that failed or
 	// a history that was dropped.
 	mistrust     = 15 * time.Second
@@ -37,6 +37,8 @@
 type Options struct {
 	Store *platform.Client
 	Log   *log.Logger
+	// Bound is the time in which a change must be in force.
+	Bound time.Duration
 	// State is called with each newer configuration, Servers with each changed
 	// list, both from goroutines of the catalog.
 	State   func(*routing.State)
@@ -51,10 +53,15 @@
 	serversRead atomic.Int64
 	calls       atomic.Int64
 	stale       *platform.Client
+	exactEvery  time.Duration
 }
 
 // New returns a catalog that knows nothing yet.
-func New(o Options) *Catalog { return &Catalog{opts: o, stale: o.Store.Stale()} }
+func New(o Options) *Catalog {
+	return &Catalog{
+		opts: o, stale: o.Store.Stale(), exactEvery: time.Duration(float64(o.Bound) * exactShare),
+	}
+}
 
 // State returns the newest configuration; nil before the first.
 func (c *Catalog) State() *routing.State { return c.state.Load() }
@@ -105,8 +112,8 @@
 }
 
 // exact reports whether the next read must not be answered from the past.
-func (c *cursor) exact(now time.Time) bool {
-	return c.after < 0 || c.lost || now.Before(c.mistrustUntil) || now.Sub(c.exactAt) >= exactEvery
+func (c *cursor) exact(now time.Time, every time.Duration) bool {
+	return c.after < 0 || c.lost || now.Before(c.mistrustUntil) || now.Sub(c.exactAt) >= every
 }
 
 // follow lists a prefix and then watches it.
@@ -114,7 +121,7 @@
 	wait := firstPause
 	at := &cursor{after: -1}
 	for ctx.Err() == nil {
-		exact := at.exact(time.Now())
+		exact := at.exact(time.Now(), c.exactEvery)
 		l, st := c.next(ctx, f.prefix, at, exact)
 		now := time.Now()
 		switch st {
@@ -166,7 +173,7 @@
 	case at.after < 0:
 		return c.opts.Store.List(ctx, prefix)
 	case !exact:
-		return c.stale.Watch(ctx, prefix, at.after, at.exactAt.Add(exactEvery))
+		return c.stale.Watch(ctx, prefix, at.after, at.exactAt.Add(c.exactEvery))
 	case now.Before(at.mistrustUntil) && !at.lost:
 		return c.opts.Store.Watch(ctx, prefix, at.after, now.Add(watchWait))
 	}
--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -29,7 +29,11 @@
 	servers  map[string]*server
 	runs     map[uint64]*run
 	budgets  map[string]*budget
-	actions  []Action
+	peers    map[string]peerLedger
+	// toldAt is when the ledger was last told; changed is set since then.
+	toldAt  time.Time
+	changed bool
+	actions []Action
 }
 
 // server is a backend server with the load that this VM believes it has.
@@ -65,7 +69,7 @@
 func New(o Options) *Core {
 	return &Core{
 		opts: o, services: map[string]routing.Service{}, servers: map[string]*server{},
-		runs: map[uint64]*run{}, budgets: map[string]*budget{},
+		runs: map[uint64]*run{}, budgets: map[string]*budget{}, peers: map[string]peerLedger{},
 	}
 }
 
@@ -100,7 +104,10 @@
 			s.Leaving = true
 			c.notice(s)
 		}
+	case PeerLedger:
+		c.heardPeer(now, m)
 	case Tick:
+		c.tell(now)
 	}
 	return c.actions
 }
@@ -163,6 +170,7 @@
 		return
 	}
 	r.started = true
+	c.changed = true
 	r.on.heard(now, m.Load)
 	r.on.fails *= failureMemory
 	if r.on.noticed && r.Kind == routing.Streaming {
@@ -188,6 +196,7 @@
 	s := r.on
 	delete(c.runs, m.ID)
 	delete(s.runs, m.ID)
+	c.changed = true
 	r.dropTarget()
 	s.heard(now, m.Load)
 	switch m.Verdict {
@@ -209,6 +218,7 @@
 		return
 	}
 	to := r.target
+	c.changed = true
 	r.dropTarget()
 	delete(r.on.runs, r.ID)
 	r.on = to
--- a/internal/control/dispatch/messages.go
+++ b/internal/control/dispatch/messages.go
@@ -108,6 +108,20 @@
 // Suspect tells that a server says by itself that it leaves.
 type Suspect struct{ Server string }
 
+// Entry is what one VM has placed on one server.
+type Entry struct {
+	// Requests counts open requests; Tokens is the memory that they and copies
+	// are expected to take; Reading the prompts that are still to be read.
+	Requests, Tokens, Reading int
+}
+
+// PeerLedger is what another VM has placed, by server. It replaces what the VM
+// told before.
+type PeerLedger struct {
+	VM      string
+	Entries map[string]Entry
+}
+
 // Tick lets time pass.
 type Tick struct{}
 
@@ -121,6 +135,7 @@
 func (WantTarget) message()      {}
 func (DropTarget) message()      {}
 func (Suspect) message()         {}
+func (PeerLedger) message()      {}
 func (Tick) message()            {}
 
 // Action is an output of the core.
@@ -140,6 +155,8 @@
 	Own, Others int
 	// Tokens is the memory that is taken or promised; Capacity is all of it.
 	Tokens, Capacity int
+	// Reading is the prompt tokens that are still to be read before an answer.
+	Reading int
 	// HeardAt is when the server last told its load; zero for never.
 	HeardAt time.Time
 }
@@ -174,7 +191,11 @@
 	Server backend.Server
 }
 
-func (Placed) action()  {}
-func (Refused) action() {}
-func (Rescue) action()  {}
-func (Target) action()  {}
+// TellLedger asks to tell other VMs what this one has placed.
+type TellLedger struct{ Entries map[string]Entry }
+
+func (TellLedger) action() {}
+func (Placed) action()     {}
+func (Refused) action()    {}
+func (Rescue) action()     {}
+func (Target) action()     {}
--- a/internal/control/dispatch/place.go
+++ b/internal/control/dispatch/place.go
@@ -64,6 +64,7 @@
 	r.on = s
 	s.runs[a.ID] = r
 	c.runs[a.ID] = r
+	c.changed = true
 }
 
 // choose returns the server on which a request is expected to be served first,
@@ -122,12 +123,7 @@
 
 func (c *Core) engineCost(now time.Time, s *server, r *run, e *routing.Engine) time.Duration {
 	v := c.view(now, s)
-	cost := time.Duration(v.Own+v.Others) * stepCost
-	for _, x := range s.runs {
-		if !x.started {
-			cost += time.Duration(x.Prompt) * time.Millisecond / prefillRate
-		}
-	}
+	cost := time.Duration(v.Own+v.Others)*stepCost + time.Duration(v.Reading)*time.Millisecond/prefillRate
 	if over := v.Tokens + r.peak() - e.CapacityTokens; over > 0 {
 		// The fuller, the later: where none has room the emptiest is best.
 		cost += fullCost * time.Duration(over) / time.Duration(max(1, e.CapacityTokens))
@@ -147,25 +143,32 @@
 	return s.others
 }
 
-// view sums up what is believed of a server.
+// view sums up what is believed of a server. What other VMs tell is newer than
+// what the server said with an answer, but only near VMs tell.
 func (c *Core) view(now time.Time, s *server) View {
 	v := View{Own: len(s.runs), Others: s.othersNow(now), HeardAt: s.heardAt}
 	e := c.services[s.Service].Engine
 	if e == nil {
 		return v
 	}
-	v.Capacity = e.CapacityTokens
-	for _, r := range s.runs {
-		v.Tokens += (r.tokens() + r.peak()) / 2
-	}
-	mean := c.meanTokens(s.Service)
-	v.Tokens += v.Others * mean
-	for _, r := range s.copies {
-		v.Tokens += (r.tokens() + r.peak()) / 2
+	own := s.entry()
+	v.Capacity, v.Tokens, v.Reading = e.CapacityTokens, own.Tokens, own.Reading
+	if told, ok := c.peersOn(now, s.ID); ok && c.near(s) {
+		v.Tokens += told.Tokens
+		v.Reading += told.Reading
+		v.Others = told.Requests
+		return v
 	}
+	v.Tokens += v.Others * c.meanTokens(s.Service)
 	return v
 }
 
+// near reports whether a server is in the VM's own region, whose VMs tell each
+// other what they place.
+func (c *Core) near(s *server) bool {
+	return c.opts.Regions[s.DataCentre] == c.opts.Regions[c.opts.DataCentre]
+}
+
 // meanTokens is the mean memory of this VM's requests of a service, which
 // stands in for those of other VMs.
 func (c *Core) meanTokens(service string) int {
@@ -207,6 +210,7 @@
 	}
 	r.target = best
 	best.copies[r.ID] = r
+	c.changed = true
 	c.act(Target{ID: m.ID, Found: true, Server: best.Server})
 }
 
--- a/internal/ingress/desk.go
+++ b/internal/ingress/desk.go
@@ -18,16 +18,17 @@
 type desk struct {
 	core     *dispatch.Core
 	messages chan dispatch.Message
-	// rescue is called from the desk's goroutine and does not block.
+	// rescue and ledger are called from the desk's goroutine and do not block.
 	rescue func(dispatch.Rescue)
+	ledger func(dispatch.TellLedger)
 
 	mu      sync.Mutex
 	waiting map[uint64]chan dispatch.Action
 }
 
-func newDesk(core *dispatch.Core, rescue func(dispatch.Rescue)) *desk {
+func newDesk(core *dispatch.Core, rescue func(dispatch.Rescue), ledger func(dispatch.TellLedger)) *desk {
 	return &desk{
-		core: core, rescue: rescue, messages: make(chan dispatch.Message, deskQueue),
+		core: core, rescue: rescue, ledger: ledger, messages: make(chan dispatch.Message, deskQueue),
 		waiting: map[uint64]chan dispatch.Action{},
 	}
 }
@@ -59,6 +60,8 @@
 		d.answer(targetKey(a.ID), a)
 	case dispatch.Rescue:
 		d.rescue(a)
+	case dispatch.TellLedger:
+		d.ledger(a)
 	}
 }
 
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -58,6 +58,8 @@
 	pool    *replica.Pool
 	metrics *metrics
 	front   *front
+	// neighbours are the VMs of the same region.
+	neighbours *neighbours
 
 	lastID   atomic.Uint64
 	open     atomic.Int64
@@ -86,9 +88,11 @@
 		RetryRatio: b.RetryRatio * retryShareOfRatio, RetryWindow: time.Duration(b.RetryWindowS * float64(time.Second)),
 		RetryShare: b.RetrySlack / assumedVMs,
 	})
-	s.desk = newDesk(core, s.rescue)
+	store := platform.New("http://"+o.Settings.Store.Address, network.Client(o.Network))
+	s.neighbours = newNeighbours(o.Settings, store, o.Log, func(m dispatch.PeerLedger) { s.desk.tell(m) })
+	s.desk = newDesk(core, s.rescue, s.neighbours.tell)
 	s.catalog = catalog.New(catalog.Options{
-		Store: platform.New("http://"+o.Settings.Store.Address, network.Client(o.Network)), Log: o.Log,
+		Store: store, Log: o.Log, Bound: time.Duration(min(b.ConfigMs, b.DrainMs)) * time.Millisecond,
 		State: s.takeState, Servers: s.takeServers,
 	})
 	s.front = newFront(s.handler(), s.spawn)
@@ -119,9 +123,17 @@
 		_ = readyListener.Close()
 		return eris.Wrapf(err, "listen for callers at %s", l.Callers)
 	}
+	peers, err := s.opts.Network.Listen(l.Peers)
+	if err != nil {
+		_, _ = readyListener.Close(), callers.Close()
+		return eris.Wrapf(err, "listen for peers at %s", l.Peers)
+	}
 	side := &http.Server{Handler: ready, ReadHeaderTimeout: sideTimeout}
 	s.spawn(func() { _ = side.Serve(readyListener) })
-	context.AfterFunc(s.ctx, func() { _ = side.Close(); _ = callers.Close() })
+	links := &http.Server{Handler: s.neighbours, ReadHeaderTimeout: sideTimeout}
+	s.spawn(func() { _ = links.Serve(peers) })
+	context.AfterFunc(s.ctx, func() { _, _, _ = side.Close(), links.Close(), callers.Close() })
+	s.spawn(func() { s.neighbours.join(s.ctx, s.opts.Network) })
 	s.spawn(func() { s.front.accept(callers) })
 	s.spawn(func() { s.desk.run(s.ctx) })
 	s.spawn(func() { s.catalog.Run(s.ctx) })
--- /dev/null
+++ b/internal/ingress/neighbours.go
@@ -0,0 +1,211 @@
+package ingress
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/pimentohinge/pimentohinge/internal/control/dispatch"
+	"github.com/pimentohinge/pimentohinge/internal/network"
+	"github.com/pimentohinge/pimentohinge/internal/pause"
+	"github.com/pimentohinge/pimentohinge/internal/peer"
+	"github.com/pimentohinge/pimentohinge/internal/settings"
+	"github.com/pimentohinge/pimentohinge/pkg/wire"
+	"github.com/pimentohinge/pimentohinge/platform"
+)
+
+const (
+	keyFleet  = "fleet/peer-key"
+	kindVMs   = "vms/"
+	keyBytes  = 32
+	joinPause = time.Second
+	// joinEvery is how often the list of VMs is read again.
+	joinEvery = 10 * time.Second
+	// farEvery bounds how often VMs of other data centres are told.
+	farEvery = 250 * time.Millisecond
+	// redialAfter is how long a VM that could not be reached is left alone.
+	redialAfter = 3 * time.Second
+)
+
+// neighbours links the VMs of a region, which tell each other what they have
+// placed. Losing the links costs balance and nothing else.
+type neighbours struct {
+	self  wire.VM
+	store *platform.Client
+	log   *log.Logger
+	heard func(dispatch.PeerLedger)
+
+	mu    sync.Mutex
+	links *peer.Links // nil before the VM has joined
+	vms   map[string]wire.VM
+	away  map[string]time.Time // when a VM that was not reached is tried again
+	// farAt is when VMs of other data centres may be told again.
+	farAt time.Time
+}
+
+type fleetKey struct {
+	Key string `json:"key"`
+}
+
+func newNeighbours(g settings.Gateway, store *platform.Client, l *log.Logger, heard func(dispatch.PeerLedger)) *neighbours {
+	return &neighbours{
+		self: wire.VM{
+			Name: g.VM.Name, Region: g.VM.Region, DataCentre: g.VM.DataCentre, PeerAddress: g.Listen.Peers,
+		},
+		store: store, log: l, heard: heard, vms: map[string]wire.VM{}, away: map[string]time.Time{},
+	}
+}
+
+// join registers the VM and keeps the list of neighbours until ctx ends.
+func (n *neighbours) join(ctx context.Context, net network.Network) {
+	key := ""
+	for key == "" {
+		var ok bool
+		if key, ok = n.fleetKey(ctx); ok && n.register(ctx) {
+			break
+		}
+		key = ""
+		if !pause.For(ctx, joinPause) {
+			return
+		}
+	}
+	links := peer.New(peer.Options{
+		Self: n.self, Incarnation: int(time.Now().UnixMilli()), Key: key, Client: network.Client(net), Scheme: "ws",
+		Met: n.met, Heard: n.frame, Unreachable: n.unreachable,
+	})
+	n.mu.Lock()
+	n.links = links
+	n.mu.Unlock()
+	defer links.Close()
+	for {
+		if l, st := n.store.Stale().List(ctx, kindVMs); st == platform.OK {
+			n.take(l)
+		}
+		if !pause.For(ctx, joinEvery) {
+			return
+		}
+	}
+}
+
+// fleetKey reads the key that all VMs share, or makes it.
+func (n *neighbours) fleetKey(ctx context.Context) (string, bool) {
+	o, st := n.store.Get(ctx, keyFleet)
+	if st == platform.NotFound {
+		b := make([]byte, keyBytes)
+		if _, err := rand.Read(b); err != nil {
+			return "", false
+		}
+		value, err := json.Marshal(fleetKey{Key: hex.EncodeToString(b)})
+		if err != nil {
+			return "", false
+		}
+		n.store.Put(ctx, keyFleet, value, platform.Condition{Absent: true})
+		// Another VM may have been first, or the answer was lost.
+		o, st = n.store.Get(ctx, keyFleet)
+	}
+	var k fleetKey
+	if st != platform.OK || json.Unmarshal(o.Value, &k) != nil || k.Key == "" {
+		return "", false
+	}
+	return k.Key, true
+}
+
+func (n *neighbours) register(ctx context.Context) bool {
+	value, err := json.Marshal(n.self)
+	if err != nil {
+		return false
+	}
+	_, st := n.store.Put(ctx, kindVMs+n.self.Name, value, platform.Condition{})
+	return st == platform.OK
+}
+
+// take replaces the list of neighbours.
+func (n *neighbours) take(l platform.Listing) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, o := range l.Objects {
+		var vm wire.VM
+		if json.Unmarshal(o.Value, &vm) == nil && vm.Region == n.self.Region && vm.Name != n.self.Name && vm.Name != "" {
+			n.vms[vm.Name] = vm
+		}
+	}
+}
+
+// ServeHTTP accepts links once the VM has joined.
+func (n *neighbours) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	n.mu.Lock()
+	links := n.links
+	n.mu.Unlock()
+	if links == nil || r.URL.Path != peer.Path {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	links.ServeHTTP(w, r)
+}
+
+// met takes a VM that linked to this one.
+func (n *neighbours) met(vm wire.VM) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if vm.Region == n.self.Region {
+		n.vms[vm.Name] = vm
+		delete(n.away, vm.Name)
+	}
+}
+
+func (n *neighbours) unreachable(name string, _ wire.Frame) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if _, known := n.away[name]; !known {
+		n.log.Info().Str("event", "peerLost").Str("vm", name).Msg("")
+	}
+	n.away[name] = time.Now().Add(redialAfter)
+}
+
+func (n *neighbours) frame(from wire.VM, f wire.Frame) {
+	if f.Ledger == nil {
+		return
+	}
+	m := dispatch.PeerLedger{VM: from.Name, Entries: map[string]dispatch.Entry{}}
+	for _, e := range f.Ledger.Entries {
+		m.Entries[e.Server] = dispatch.Entry{Requests: e.Requests, Tokens: e.Tokens, Reading: e.Reading}
+	}
+	n.heard(m)
+}
+
+// tell sends this VM's ledger to its neighbours. It does not block.
+func (n *neighbours) tell(a dispatch.TellLedger) {
+	f := wire.Frame{Ledger: &wire.Ledger{Entries: make([]wire.LedgerEntry, 0, len(a.Entries))}}
+	for id, e := range a.Entries {
+		f.Ledger.Entries = append(f.Ledger.Entries, wire.LedgerEntry{
+			Server: id, Requests: e.Requests, Tokens: e.Tokens, Reading: e.Reading,
+		})
+	}
+	now := time.Now()
+	n.mu.Lock()
+	links := n.links
+	far := now.After(n.farAt)
+	if far {
+		n.farAt = now.Add(farEvery)
+	}
+	var to []wire.VM
+	for name, vm := range n.vms {
+		if until, away := n.away[name]; away && now.Before(until) || vm.DataCentre != n.self.DataCentre && !far {
+			continue
+		}
+		to = append(to, vm)
+	}
+	n.mu.Unlock()
+	if links == nil {
+		return
+	}
+	for _, vm := range to {
+		links.Send(vm, f)
+	}
+}
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -29,14 +29,20 @@
 	Callers string `json:"callers"`
 	// Ready is where readiness and metrics are asked for.
 	Ready string `json:"ready"`
+	// Peers is where other entry VMs connect.
+	Peers string `json:"peers"`
 }
 
 func (l GatewayListen) check(c *collector) {
 	checkIPPort(c, "listen.callers", l.Callers)
 	checkIPPort(c, "listen.ready", l.Ready)
+	checkIPPort(c, "listen.peers", l.Peers)
 	if l.Callers != "" && l.Callers == l.Ready {
 		c.add("listen.ready", "must differ from listen.callers")
 	}
+	if l.Peers != "" && (l.Peers == l.Callers || l.Peers == l.Ready) {
+		c.add("listen.peers", "must differ from the other two addresses")
+	}
 }
 
 // Store locates the platform's store.
@@ -49,6 +55,10 @@
 type Bounds struct {
 	// GraceS is the time from a stop signal to the kill, in seconds.
 	GraceS float64 `json:"graceS"`
+	// ConfigMs and DrainMs are the times in which a change of the configuration
+	// and the notice of a leaving server must be in force, in milliseconds.
+	ConfigMs int `json:"configMs"`
+	DrainMs  int `json:"drainMs"`
 	// RetryRatio and RetrySlack bound the repeats to a service by all VMs in
 	// each window of RetryWindowS seconds: a share of the requests, and more.
 	RetryRatio   float64 `json:"retryRatio"`
@@ -59,12 +69,16 @@
 const (
 	maxGraceS       = 600
 	maxRetryWindowS = 600
+	minBoundMs      = 500
+	maxBoundMs      = 600_000
 )
 
 func (b Bounds) check(c *collector) {
 	if b.GraceS < 0 || b.GraceS > maxGraceS {
 		c.add("bounds.graceS", "%g must be from 0 to %d", b.GraceS, maxGraceS)
 	}
+	checkRange(c, "bounds.configMs", b.ConfigMs, minBoundMs, maxBoundMs)
+	checkRange(c, "bounds.drainMs", b.DrainMs, minBoundMs, maxBoundMs)
 	if b.RetryRatio < 0 || b.RetryRatio > 1 {
 		c.add("bounds.retryRatio", "%g must be from 0 to 1", b.RetryRatio)
 	}
--- a/pkg/wire/wire.go
+++ b/pkg/wire/wire.go
@@ -112,6 +112,9 @@
 	// Hello corresponds to the JSON schema field "hello".
 	Hello *Hello `json:"hello,omitempty,omitzero"`
 
+	// Ledger corresponds to the JSON schema field "ledger".
+	Ledger *Ledger `json:"ledger,omitempty,omitzero"`
+
 	// Loads corresponds to the JSON schema field "loads".
 	Loads *Loads `json:"loads,omitempty,omitzero"`
 
@@ -215,6 +218,27 @@
 	Role string `json:"role"`
 }
 
+// What the sender has placed on backend servers, whole.
+type Ledger struct {
+	// One for each server that has requests or copies of the sender.
+	Entries []LedgerEntry `json:"entries"`
+}
+
+// What one VM has placed on one backend server.
+type LedgerEntry struct {
+	// Prompt tokens of requests that have no answer yet.
+	Reading int `json:"reading"`
+
+	// Open requests.
+	Requests int `json:"requests"`
+
+	// Server.
+	Server string `json:"server"`
+
+	// Memory that they and copies are expected to take, in tokens.
+	Tokens int `json:"tokens"`
+}
+
 // State of an engine as it reports it, with a lag.
 type LoadReport struct {
 	// Tokens in a block.
--- a/test/gateway/world_test.go
+++ b/test/gateway/world_test.go
@@ -113,10 +113,10 @@
 		Network: w.net.Host(vmHost), Log: logline.New(w.log, "info"),
 		Settings: settings.Gateway{
 			VM:          settings.VM{Name: "vm-1", Region: "r1", DataCentre: "a"},
-			Listen:      settings.GatewayListen{Callers: callers, Ready: readyAddr},
+			Listen:      settings.GatewayListen{Callers: callers, Ready: readyAddr, Peers: vmHost + ":8002"},
 			Store:       settings.Store{Address: storeAddr},
 			DataCentres: map[string]string{"a": "r1", "b": "r2"},
-			Bounds:      settings.Bounds{GraceS: 8, RetryRatio: 0.2, RetrySlack: 50, RetryWindowS: 10},
+			Bounds:      settings.Bounds{GraceS: 8, ConfigMs: 3000, DrainMs: 3000, RetryRatio: 0.2, RetrySlack: 50, RetryWindowS: 10},
 		},
 	})
 	if err := w.vm.Start(); err != nil {
