--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -20,7 +20,7 @@
 const (
 	// watchWait bounds one waiting watch, and so the time for which a silent
 	// connection to the store goes unseen.
-	watchWait    = 3 * time.Second
+	watchWait = 3 * time.Second
 	// exactShare is the share of the bound on a change after which reads that
 	// the store answers from the past, at a tenth of the price, are confirmed by
 	// an exact one. The rest is for that call and the next.
@@ -51,6 +51,7 @@
 	state atomic.Pointer[routing.State]
 	// serversReadUnixMs is when the list of servers was last confirmed.
 	serversRead atomic.Int64
+	serversLost atomic.Bool
 	calls       atomic.Int64
 	stale       *platform.Client
 	exactEvery  time.Duration
@@ -76,6 +77,9 @@
 	return time.UnixMilli(ms)
 }
 
+// ServersLost reports whether the list of servers cannot be read now.
+func (c *Catalog) ServersLost() bool { return c.serversLost.Load() }
+
 // Calls returns how many calls to the store were made.
 func (c *Catalog) Calls() int64 { return c.calls.Load() }
 
@@ -240,11 +244,15 @@
 	s.do(func() {
 		now := time.Now()
 		s.catalog.serversRead.Store(now.UnixMilli())
+		s.catalog.serversLost.Store(false)
 		s.publish(s.servers.Apply(now, l))
 	})
 }
 
-func (s *serverList) away() { s.do(func() { s.servers.StoreAway(time.Now()) }) }
+func (s *serverList) away() {
+	s.catalog.serversLost.Store(true)
+	s.do(func() { s.servers.StoreAway(time.Now()) })
+}
 
 func (s *serverList) publish(changes []Entry) {
 	if len(changes) == 0 {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -138,6 +138,7 @@
 	s.spawn(func() { s.desk.run(s.ctx) })
 	s.spawn(func() { s.catalog.Run(s.ctx) })
 	s.spawn(s.sweep)
+	s.spawn(s.lookout)
 	v := s.opts.Settings.VM
 	s.log.Info().Str("event", "started").Str("vm", v.Name).Str("dataCentre", v.DataCentre).
 		Str("callers", l.Callers).Str("ready", l.Ready).Str("store", s.opts.Settings.Store.Address).Msg("")
--- a/internal/ingress/rescue.go
+++ b/internal/ingress/rescue.go
@@ -56,10 +56,12 @@
 	})
 }
 
+func evacuationKey(x backend.Server) string { return x.ID + "@" + x.Address }
+
 // evacuation returns the evacuation of a server, which begins with its first
 // use.
 func (s *Server) evacuation(from backend.Server) *evacuation {
-	key := from.ID + "@" + from.Address
+	key := evacuationKey(from)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if e, ok := s.evacuations[key]; ok {
@@ -120,6 +122,13 @@
 	return true
 }
 
+// server returns where the stream runs.
+func (st *stream) server() backend.Server {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.on
+}
+
 func (st *stream) hasEnded() bool {
 	st.mu.Lock()
 	defer st.mu.Unlock()
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -77,6 +77,8 @@
 	mu     sync.Mutex
 	active map[string]*generation
 	copies map[string]*memory // by handle
+	// leavesAt is when the replica will be stopped; zero while it stays.
+	leavesAt time.Time
 }
 
 // memory is the memory of a run, at its replica or as a copy.
@@ -106,6 +108,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/kv-move", r.move)
 	mux.HandleFunc("DELETE /v1/kv-handle/{handle}", r.drop)
+	mux.HandleFunc("GET /v1/report", r.report)
 	mux.HandleFunc("/", r.serve)
 	r.server = &http.Server{Handler: mux}
 	g.mu.Lock()
@@ -136,6 +139,27 @@
 	}
 }
 
+// Leave makes the replica say in its reports that it will be stopped.
+func (r *Replica) Leave(at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leavesAt = at
+}
+
+func (r *Replica) report(w http.ResponseWriter, _ *http.Request) {
+	r.mu.Lock()
+	out := map[string]any{"active": len(r.active), "queued": 0, "kvUsed": r.used(), "state": "ready"}
+	if r.opts.Engine != nil {
+		out["kvTotal"] = r.opts.Engine.Capacity
+	}
+	if !r.leavesAt.IsZero() {
+		out["state"], out["leaves_ms"] = "draining", time.Until(r.leavesAt).Milliseconds()
+	}
+	r.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(out)
+}
+
 // Used returns the memory in use, in tokens.
 func (r *Replica) Used() int {
 	r.mu.Lock()
--- a/test/gateway/stream_test.go
+++ b/test/gateway/stream_test.go
@@ -7,6 +7,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/pimentohinge/pimentohinge/internal/standin/store"
 )
 
 // gapGoal is the longest pause that callers of reports accept.
@@ -78,6 +80,26 @@
 	})
 }
 
+// TestReclaimWhileTheStoreIsAway gives the notice while the store does not
+// answer, so that only the replica itself can tell it: inc-533b of
+// klepsydra-serwis, where 18 reports were cut off so.
+func TestReclaimWhileTheStoreIsAway(t *testing.T) {
+	run(t, func(t *testing.T, w *world) {
+		w.engine("e-1", "a")
+		done := w.reports(3, 200, 100*time.Millisecond)
+		w.engine("e-2", "a")
+		w.store.SetFaults(store.Faults{Outage: true})
+		time.Sleep(time.Second)
+		w.up["e-1"].Leave(time.Now().Add(1500 * time.Millisecond))
+		time.Sleep(1500 * time.Millisecond)
+		w.up["e-1"].Stop()
+		for i, a := range done() {
+			w.whole(a, 200)
+			w.once(fmt.Sprintf("s%d", i))
+		}
+	})
+}
+
 // TestReclaimTwice takes the second engine away as well.
 func TestReclaimTwice(t *testing.T) {
 	run(t, func(t *testing.T, w *world) {
