--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -11,6 +11,8 @@
 
 // Options describes a VM to its core.
 type Options struct {
+	// VM is this VM's name.
+	VM string
 	// DataCentre is the VM's own; Regions names the region of each.
 	DataCentre string
 	Regions    map[string]string
@@ -29,11 +31,12 @@
 	servers  map[string]*server
 	runs     map[uint64]*run
 	budgets  map[string]*budget
-	peers    map[string]peerLedger
+	// peers are the ledgers of VMs of this region, regions those of others.
+	peers, regions map[string]peerLedger
 	// toldAt is when the ledger was last told; changed is set since then.
-	toldAt  time.Time
-	changed bool
-	actions []Action
+	toldAt, toldRegionAt time.Time
+	changed              bool
+	actions              []Action
 }
 
 // server is a backend server with the load that this VM believes it has.
@@ -70,6 +73,7 @@
 	return &Core{
 		opts: o, services: map[string]routing.Service{}, servers: map[string]*server{},
 		runs: map[uint64]*run{}, budgets: map[string]*budget{}, peers: map[string]peerLedger{},
+		regions: map[string]peerLedger{},
 	}
 }
 
--- a/internal/control/dispatch/dispatch_test.go
+++ b/internal/control/dispatch/dispatch_test.go
@@ -91,6 +91,41 @@
 	}
 }
 
+// TestReportsOfOtherRegionsCount replays a burst that spills into another
+// region: what the VMs there told decides, of which one speaks for all.
+func TestReportsOfOtherRegionsCount(t *testing.T) {
+	c := newCore()
+	c.Step(start, dispatch.ServersChanged{Servers: servers("engine", "a", "c", "c")})
+	c.Step(start, dispatch.PeerLedger{VM: "other", Entries: map[string]dispatch.Entry{"s0": {Requests: 9, Tokens: 34000}}})
+	c.Step(start, dispatch.PeerLedger{VM: "r2", Region: true, Entries: map[string]dispatch.Entry{"s1": {Requests: 9, Tokens: 34000}}})
+	if got := place(t, c, start, 1); got != "s2" {
+		t.Errorf("placed on %s", got)
+	}
+}
+
+// TestOneVMSpeaksForItsRegion checks who tells other regions, and what.
+func TestOneVMSpeaksForItsRegion(t *testing.T) {
+	for _, c := range []struct {
+		peer   string
+		speaks bool
+	}{{"vm-1", false}, {"vm-3", true}} {
+		core := dispatch.New(dispatch.Options{VM: "vm-2", DataCentre: "a", RetryWindow: time.Second})
+		core.Step(start, dispatch.PeerLedger{VM: c.peer, Entries: map[string]dispatch.Entry{"s9": {Requests: 2, Tokens: 5000}}})
+		spoke := false
+		for _, a := range core.Step(start.Add(time.Second), dispatch.Tick{}) {
+			if l, ok := a.(dispatch.TellLedger); ok && l.Region {
+				spoke = true
+				if diff := cmp.Diff(map[string]dispatch.Entry{"s9": {Requests: 2, Tokens: 5000}}, l.Entries); diff != "" {
+					t.Error(diff)
+				}
+			}
+		}
+		if spoke != c.speaks {
+			t.Errorf("beside %s: speaks %v", c.peer, spoke)
+		}
+	}
+}
+
 // TestFullDataCentreSpills fills the engines of the data centre: only then does
 // a report go to another region, from which it cannot move in time.
 func TestFullDataCentreSpills(t *testing.T) {
--- a/internal/control/dispatch/messages.go
+++ b/internal/control/dispatch/messages.go
@@ -115,10 +115,12 @@
 	Requests, Tokens, Reading int
 }
 
-// PeerLedger is what another VM has placed, by server. It replaces what the VM
-// told before.
+// PeerLedger is what another VM, or all VMs of another region, have placed, by
+// server. It replaces what they told before.
 type PeerLedger struct {
+	// VM is the name of the VM, or of the region when Region is set.
 	VM      string
+	Region  bool
 	Entries map[string]Entry
 }
 
@@ -145,7 +147,7 @@
 type Placed struct {
 	ID     uint64
 	Server backend.Server
-	// Load and Why are the inputs of the choice, for the log.
+	// Load is the input of the choice, for the log.
 	Load View
 }
 
@@ -191,8 +193,12 @@
 	Server backend.Server
 }
 
-// TellLedger asks to tell other VMs what this one has placed.
-type TellLedger struct{ Entries map[string]Entry }
+// TellLedger asks to tell the VMs of the region what this one has placed or,
+// when Region is set, those of other regions what all VMs of this one have.
+type TellLedger struct {
+	Region  bool
+	Entries map[string]Entry
+}
 
 func (TellLedger) action() {}
 func (Placed) action()     {}
--- a/internal/control/dispatch/place.go
+++ b/internal/control/dispatch/place.go
@@ -144,7 +144,7 @@
 }
 
 // view sums up what is believed of a server. What other VMs tell is newer than
-// what the server said with an answer, but only near VMs tell.
+// what the server said with an answer.
 func (c *Core) view(now time.Time, s *server) View {
 	v := View{Own: len(s.runs), Others: s.othersNow(now), HeardAt: s.heardAt}
 	e := c.services[s.Service].Engine
@@ -153,7 +153,7 @@
 	}
 	own := s.entry()
 	v.Capacity, v.Tokens, v.Reading = e.CapacityTokens, own.Tokens, own.Reading
-	if told, ok := c.peersOn(now, s.ID); ok && c.near(s) {
+	if told, ok := c.peersOn(now, s.ID); ok {
 		v.Tokens += told.Tokens
 		v.Reading += told.Reading
 		v.Others = told.Requests
@@ -163,12 +163,6 @@
 	return v
 }
 
-// near reports whether a server is in the VM's own region, whose VMs tell each
-// other what they place.
-func (c *Core) near(s *server) bool {
-	return c.opts.Regions[s.DataCentre] == c.opts.Regions[c.opts.DataCentre]
-}
-
 // meanTokens is the mean memory of this VM's requests of a service, which
 // stands in for those of other VMs.
 func (c *Core) meanTokens(service string) int {
--- a/internal/control/rescue/rescue.go
+++ b/internal/control/rescue/rescue.go
@@ -12,10 +12,10 @@
 import "time"
 
 const (
-	// ShortestNotice is what a server is taken to stay after its notice, and
-	// LongestNotice after which time it is taken to stay for long.
+	// ShortestNotice is how long a server is taken to stay after its notice.
 	ShortestNotice = 1500 * time.Millisecond
-	LongestNotice  = 2400 * time.Millisecond
+	// LongestNotice is after which time a server is taken to stay for long.
+	LongestNotice = 2400 * time.Millisecond
 	// RefreshEvery is how often a copy is brought up to date.
 	RefreshEvery = 400 * time.Millisecond
 	// firstRefresh is when copies are first brought up to date: later than the
--- a/internal/ingress/events.go
+++ b/internal/ingress/events.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"io"
 	"strconv"
 
@@ -40,10 +41,10 @@
 		if len(ev.raw) > maxEventBytes {
 			return event{}, errEventTooLong
 		}
-		if err == bufio.ErrBufferFull {
+		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
-		if err == io.EOF && len(ev.raw) > 0 {
+		if errors.Is(err, io.EOF) && len(ev.raw) > 0 {
 			return event{}, io.ErrUnexpectedEOF
 		}
 		if err != nil {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -84,7 +84,7 @@
 		evacuations: map[string]*evacuation{},
 	}
 	core := dispatch.New(dispatch.Options{
-		DataCentre: o.Settings.VM.DataCentre, Regions: o.Settings.DataCentres,
+		VM: o.Settings.VM.Name, DataCentre: o.Settings.VM.DataCentre, Regions: o.Settings.DataCentres,
 		RetryRatio: b.RetryRatio * retryShareOfRatio, RetryWindow: time.Duration(b.RetryWindowS * float64(time.Second)),
 		RetryShare: b.RetrySlack / assumedVMs,
 	})
--- a/internal/ingress/neighbours.go
+++ b/internal/ingress/neighbours.go
@@ -33,8 +33,9 @@
 	redialAfter = 3 * time.Second
 )
 
-// neighbours links the VMs of a region, which tell each other what they have
-// placed. Losing the links costs balance and nothing else.
+// neighbours links the VMs, which tell each other what they have placed: each to
+// those of its region, and one of a region to the others. Losing the links costs
+// balance and nothing else.
 type neighbours struct {
 	self  wire.VM
 	store *platform.Client
@@ -131,7 +132,7 @@
 	defer n.mu.Unlock()
 	for _, o := range l.Objects {
 		var vm wire.VM
-		if json.Unmarshal(o.Value, &vm) == nil && vm.Region == n.self.Region && vm.Name != n.self.Name && vm.Name != "" {
+		if json.Unmarshal(o.Value, &vm) == nil && vm.Name != n.self.Name && vm.Name != "" {
 			n.vms[vm.Name] = vm
 		}
 	}
@@ -153,10 +154,8 @@
 func (n *neighbours) met(vm wire.VM) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if vm.Region == n.self.Region {
-		n.vms[vm.Name] = vm
-		delete(n.away, vm.Name)
-	}
+	n.vms[vm.Name] = vm
+	delete(n.away, vm.Name)
 }
 
 func (n *neighbours) unreachable(name string, _ wire.Frame) {
@@ -173,13 +172,16 @@
 		return
 	}
 	m := dispatch.PeerLedger{VM: from.Name, Entries: map[string]dispatch.Entry{}}
+	if f.Ledger.Region != nil {
+		m.VM, m.Region = *f.Ledger.Region, true
+	}
 	for _, e := range f.Ledger.Entries {
 		m.Entries[e.Server] = dispatch.Entry{Requests: e.Requests, Tokens: e.Tokens, Reading: e.Reading}
 	}
 	n.heard(m)
 }
 
-// tell sends this VM's ledger to its neighbours. It does not block.
+// tell sends a ledger to those whom it concerns. It does not block.
 func (n *neighbours) tell(a dispatch.TellLedger) {
 	f := wire.Frame{Ledger: &wire.Ledger{Entries: make([]wire.LedgerEntry, 0, len(a.Entries))}}
 	for id, e := range a.Entries {
@@ -187,25 +189,37 @@
 			Server: id, Requests: e.Requests, Tokens: e.Tokens, Reading: e.Reading,
 		})
 	}
-	now := time.Now()
+	if a.Region {
+		f.Ledger.Region = &n.self.Region
+	}
+	links, to := n.listeners(time.Now(), a.Region)
+	if links == nil {
+		return
+	}
+	for _, vm := range to {
+		links.Send(vm, f)
+	}
+}
+
+// listeners returns the VMs that get a ledger: those of other regions, or those
+// of the own one.
+func (n *neighbours) listeners(now time.Time, region bool) (*peer.Links, []wire.VM) {
 	n.mu.Lock()
-	links := n.links
+	defer n.mu.Unlock()
 	far := now.After(n.farAt)
-	if far {
+	if far && !region {
 		n.farAt = now.Add(farEvery)
 	}
 	var to []wire.VM
 	for name, vm := range n.vms {
-		if until, away := n.away[name]; away && now.Before(until) || vm.DataCentre != n.self.DataCentre && !far {
-			continue
+		until, away := n.away[name]
+		switch {
+		case away && now.Before(until):
+		case region != (vm.Region != n.self.Region):
+		case !region && vm.DataCentre != n.self.DataCentre && !far:
+		default:
+			to = append(to, vm)
 		}
-		to = append(to, vm)
-	}
-	n.mu.Unlock()
-	if links == nil {
-		return
-	}
-	for _, vm := range to {
-		links.Send(vm, f)
 	}
+	return n.links, to
 }
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"sync"
@@ -196,7 +197,7 @@
 	rc := http.NewResponseController(q.w)
 	for {
 		ev, err := events.next()
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			return nil
 		}
 		if err != nil {
--- a/pkg/wire/wire.go
+++ b/pkg/wire/wire.go
@@ -218,10 +218,14 @@
 	Role string `json:"role"`
 }
 
-// What the sender has placed on backend servers, whole.
+// What the sender, or all VMs of its region, have placed on backend servers,
+// whole.
 type Ledger struct {
 	// One for each server that has requests or copies of the sender.
 	Entries []LedgerEntry `json:"entries"`
+
+	// Set to the sender's region when the entries are the sums of all its VMs.
+	Region *string `json:"region,omitempty,omitzero"`
 }
 
 // What one VM has placed on one backend server.
--- a/test/gateway/stream_test.go
+++ b/test/gateway/stream_test.go
@@ -84,7 +84,7 @@
 // answer, so that only the replica itself can tell it: inc-533b of
 // klepsydra-serwis, where 18 reports were cut off so.
 func TestReclaimWhileTheStoreIsAway(t *testing.T) {
-	run(t, func(t *testing.T, w *world) {
+	run(t, func(_ *testing.T, w *world) {
 		w.engine("e-1", "a")
 		done := w.reports(3, 200, 100*time.Millisecond)
 		w.engine("e-2", "a")
@@ -128,7 +128,7 @@
 // TestStreamThatBeginsDuringTheNotice has its first event only after its engine
 // announced that it leaves.
 func TestStreamThatBeginsDuringTheNotice(t *testing.T) {
-	run(t, func(t *testing.T, w *world) {
+	run(t, func(_ *testing.T, w *world) {
 		w.engine("e-1", "a")
 		done := w.reports(1, 150, 5*time.Millisecond)
 		w.leave("e-1")
