catalog: let the exact reads of one VM count for the others of its region

Change: ledgers carry which version the sender read exactly, and the newest beat of the receiver that it had when it began to read. The receiver dates the read by its own clock from when it sent that beat, and needs none of its own once its catalog has reached that version. In a region of five VMs and more the VM that speaks for it reads more often. Changes within 100 ms are gathered in one call.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -25,9 +25,17 @@
 	// the store answers from the past, at a tenth of the price, are confirmed by
 	// an exact one. The rest is for that call and the next.
 	exactShare = 2.0 / 3
+	// leadShare is how much more often a VM reads exactly for others, sliceShare
+	// the longest wait of one read from the past; both as shares of the time
+	// between two exact reads.
+	leadShare  = 0.45
+	sliceShare = 0.3
 	// mistrust is how long only exact reads are made after a call that failed or
 	// a history that was dropped.
-	mistrust     = 15 * time.Second
+	mistrust = 15 * time.Second
+	// callEvery is the least time between two calls, in which changes that come
+	// close together are gathered; the first of them is told at once.
+	callEvery    = 100 * time.Millisecond
 	firstPause   = 100 * time.Millisecond
 	longestPause = 800 * time.Millisecond
 	expireEvery  = 250 * time.Millisecond
@@ -39,6 +47,9 @@
 	Log   *log.Logger
 	// Bound is the time in which a change must be in force.
 	Bound time.Duration
+	// ExactRead is called before each exact read of a prefix; what it returns is
+	// called with the version that was read. It may be nil.
+	ExactRead func(prefix string) func(version int64)
 	// State is called with each newer configuration, Servers with each changed
 	// list, both from goroutines of the catalog.
 	State   func(*routing.State)
@@ -55,12 +66,15 @@
 	calls       atomic.Int64
 	stale       *platform.Client
 	exactEvery  time.Duration
+	confirmed   map[string]*confirmations // by prefix; the map is not changed
+	leadUntil   atomic.Int64
 }
 
 // New returns a catalog that knows nothing yet.
 func New(o Options) *Catalog {
 	return &Catalog{
 		opts: o, stale: o.Store.Stale(), exactEvery: time.Duration(float64(o.Bound) * exactShare),
+		confirmed: map[string]*confirmations{platform.ConfigKind: {}, platform.ServerKind: {}},
 	}
 }
 
@@ -113,10 +127,17 @@
 	// exactAt is when the last exact read was answered, mistrustUntil the end of
 	// the time in which only exact reads are made.
 	exactAt, mistrustUntil time.Time
+	// calledAt is when the last call began.
+	calledAt time.Time
+	// confirmedAt is when the cursor was current by another VM's exact read.
+	confirmedAt time.Time
 }
 
 // exact reports whether the next read must not be answered from the past.
 func (c *cursor) exact(now time.Time, every time.Duration) bool {
+	if c.exactAt.Before(c.confirmedAt) && !now.Before(c.mistrustUntil) {
+		c.exactAt = c.confirmedAt
+	}
 	return c.after < 0 || c.lost || now.Before(c.mistrustUntil) || now.Sub(c.exactAt) >= every
 }
 
@@ -125,7 +146,12 @@
 	wait := firstPause
 	at := &cursor{after: -1}
 	for ctx.Err() == nil {
-		exact := at.exact(time.Now(), c.exactEvery)
+		if !pause.Until(ctx, at.calledAt.Add(callEvery)) {
+			return
+		}
+		at.calledAt = time.Now()
+		exact := at.exact(at.calledAt, c.readEvery())
+		done := c.beginRead(f.prefix, exact)
 		l, st := c.next(ctx, f.prefix, at, exact)
 		now := time.Now()
 		switch st {
@@ -157,6 +183,7 @@
 		}
 		if exact {
 			at.exactAt = now
+			done(l.Version)
 		}
 		wait = firstPause
 		if l.Unread > 0 {
@@ -164,7 +191,24 @@
 		}
 		f.take(l)
 		at.after = max(at.after, l.Version)
+		at.confirmedAt = c.confirmed[f.prefix].at(at.after)
+	}
+}
+
+// readEvery is how long the catalog does without an exact read.
+func (c *Catalog) readEvery() time.Duration {
+	if c.leads(time.Now()) {
+		return time.Duration(float64(c.exactEvery) * leadShare)
 	}
+	return c.exactEvery
+}
+
+// beginRead returns what an exact read ends with.
+func (c *Catalog) beginRead(prefix string, exact bool) func(int64) {
+	if !exact || c.opts.ExactRead == nil {
+		return func(int64) {}
+	}
+	return c.opts.ExactRead(prefix)
 }
 
 // next makes one call. A store that was lost is asked for an answer at once:
@@ -177,7 +221,12 @@
 	case at.after < 0:
 		return c.opts.Store.List(ctx, prefix)
 	case !exact:
-		return c.stale.Watch(ctx, prefix, at.after, at.exactAt.Add(c.exactEvery))
+		// It ends in time for what other VMs confirm meanwhile to be of use.
+		until := at.exactAt.Add(c.readEvery())
+		if slice := now.Add(time.Duration(float64(c.exactEvery) * sliceShare)); slice.Before(until) {
+			until = slice
+		}
+		return c.stale.Watch(ctx, prefix, at.after, until)
 	case now.Before(at.mistrustUntil) && !at.lost:
 		return c.opts.Store.Watch(ctx, prefix, at.after, now.Add(watchWait))
 	}
--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -110,6 +110,8 @@
 		}
 	case PeerLedger:
 		c.heardPeer(now, m)
+	case Retell:
+		c.changed = true
 	case Tick:
 		c.tell(now)
 	}
--- a/internal/control/dispatch/ledger.go
+++ b/internal/control/dispatch/ledger.go
@@ -6,7 +6,7 @@
 	// tellEvery bounds how often the ledger is told when it changes, and
 	// tellAtLeast how long it is not told when it does not.
 	tellEvery   = 20 * time.Millisecond
-	tellAtLeast = time.Second
+	tellAtLeast = 500 * time.Millisecond
 	// tellRegionEvery is how often other regions are told.
 	tellRegionEvery = 300 * time.Millisecond
 	// peerFresh is how long another VM's ledger is used after it was told.
@@ -57,7 +57,7 @@
 	}
 	if now.Sub(c.toldRegionAt) >= tellRegionEvery && c.speaks(now) {
 		c.toldRegionAt = now
-		c.act(TellLedger{Region: true, Entries: c.regionLedger(now)})
+		c.act(TellLedger{Region: true, Peers: len(c.peers), Entries: c.regionLedger(now)})
 	}
 }
 
--- a/internal/control/dispatch/messages.go
+++ b/internal/control/dispatch/messages.go
@@ -124,6 +124,9 @@
 	Entries map[string]Entry
 }
 
+// Retell asks to tell the ledger again soon, as more than its entries changed.
+type Retell struct{}
+
 // Tick lets time pass.
 type Tick struct{}
 
@@ -138,6 +141,7 @@
 func (DropTarget) message()      {}
 func (Suspect) message()         {}
 func (PeerLedger) message()      {}
+func (Retell) message()          {}
 func (Tick) message()            {}
 
 // Action is an output of the core.
@@ -196,7 +200,9 @@
 // TellLedger asks to tell the VMs of the region what this one has placed or,
 // when Region is set, those of other regions what all VMs of this one have.
 type TellLedger struct {
-	Region  bool
+	Region bool
+	// Peers counts the VMs of the region that were heard lately.
+	Peers   int
 	Entries map[string]Entry
 }
 
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -90,10 +90,11 @@
 	})
 	store := platform.New("http://"+o.Settings.Store.Address, network.Client(o.Network))
 	s.neighbours = newNeighbours(o.Settings, store, o.Log, func(m dispatch.PeerLedger) { s.desk.tell(m) })
-	s.desk = newDesk(core, s.rescue, s.neighbours.tell)
+	s.neighbours.confirm = func(prefix string, c catalog.Confirmation) { s.catalog.Confirm(prefix, c) }
+	s.desk = newDesk(core, s.rescue, s.tellLedger)
 	s.catalog = catalog.New(catalog.Options{
 		Store: store, Log: o.Log, Bound: time.Duration(min(b.ConfigMs, b.DrainMs)) * time.Millisecond,
-		State: s.takeState, Servers: s.takeServers,
+		State: s.takeState, Servers: s.takeServers, ExactRead: s.exactRead,
 	})
 	s.front = newFront(s.handler(), s.spawn)
 	return s
@@ -161,6 +162,34 @@
 	}
 }
 
+// tellLedger passes a ledger on. The VM that speaks for its region also reads
+// the store for it.
+func (s *Server) tellLedger(a dispatch.TellLedger) {
+	if a.Region && a.Peers >= leastFollowers {
+		s.catalog.Lead(time.Now().Add(leadTime))
+	}
+	s.neighbours.tell(a)
+}
+
+const (
+	// leadTime is how long a VM reads the store for others after it last spoke
+	// for its region.
+	leadTime = time.Second
+	// leastFollowers is the number of VMs from which on that costs fewer calls
+	// than when each reads for itself.
+	leastFollowers = 4
+)
+
+// exactRead is called before an exact read of the store. What it returns notes
+// the version that was read and lets the other VMs know.
+func (s *Server) exactRead(prefix string) func(int64) {
+	done := s.neighbours.beats.BeginRead(prefix)
+	return func(version int64) {
+		done(version)
+		s.desk.tell(dispatch.Retell{})
+	}
+}
+
 // ready answers the balancer's question.
 func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
 	if s.stopping.Load() || s.catalog.State() == nil {
--- a/internal/ingress/neighbours.go
+++ b/internal/ingress/neighbours.go
@@ -5,12 +5,15 @@
 	"crypto/rand"
 	"encoding/hex"
 	"encoding/json"
+	mathrand "math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/phuslu/log"
 
+	"github.com/pimentohinge/pimentohinge/internal/catalog"
+	"github.com/pimentohinge/pimentohinge/internal/control/beats"
 	"github.com/pimentohinge/pimentohinge/internal/control/dispatch"
 	"github.com/pimentohinge/pimentohinge/internal/network"
 	"github.com/pimentohinge/pimentohinge/internal/pause"
@@ -21,10 +24,12 @@
 )
 
 const (
-	keyFleet  = "fleet/peer-key"
-	kindVMs   = "vms/"
-	keyBytes  = 32
-	joinPause = time.Second
+	keyFleet = "fleet/peer-key"
+	kindVMs  = "vms/"
+	keyBytes = 32
+	// firstBeats is the span from which the first beat of a life is drawn.
+	firstBeats = 1 << 52
+	joinPause  = time.Second
 	// joinEvery is how often the list of VMs is read again.
 	joinEvery = 10 * time.Second
 	// farEvery bounds how often VMs of other data centres are told.
@@ -41,6 +46,9 @@
 	store *platform.Client
 	log   *log.Logger
 	heard func(dispatch.PeerLedger)
+	// confirm takes exact reads of other VMs.
+	confirm func(prefix string, c catalog.Confirmation)
+	beats   *beats.Book
 
 	mu    sync.Mutex
 	links *peer.Links // nil before the VM has joined
@@ -60,6 +68,7 @@
 			Name: g.VM.Name, Region: g.VM.Region, DataCentre: g.VM.DataCentre, PeerAddress: g.Listen.Peers,
 		},
 		store: store, log: l, heard: heard, vms: map[string]wire.VM{}, away: map[string]time.Time{},
+		beats: beats.New(mathrand.Int64N(firstBeats)),
 	}
 }
 
@@ -84,13 +93,14 @@
 	n.links = links
 	n.mu.Unlock()
 	defer links.Close()
-	for {
+	// VMs start together: the first list must not be one of before.
+	if l, st := n.store.List(ctx, kindVMs); st == platform.OK {
+		n.take(l)
+	}
+	for pause.For(ctx, joinEvery) {
 		if l, st := n.store.Stale().List(ctx, kindVMs); st == platform.OK {
 			n.take(l)
 		}
-		if !pause.For(ctx, joinEvery) {
-			return
-		}
 	}
 }
 
@@ -171,6 +181,14 @@
 	if f.Ledger == nil {
 		return
 	}
+	if f.Ledger.Beat != nil {
+		n.beats.Hear(from.Name, int64(*f.Ledger.Beat))
+	}
+	for _, c := range f.Ledger.Confirmed {
+		if at, ok := n.beats.Date(c); ok {
+			n.confirm(c.Prefix, catalog.Confirmation{Version: int64(c.Version), At: at})
+		}
+	}
 	m := dispatch.PeerLedger{VM: from.Name, Entries: map[string]dispatch.Entry{}}
 	if f.Ledger.Region != nil {
 		m.VM, m.Region = *f.Ledger.Region, true
@@ -192,12 +210,16 @@
 	if a.Region {
 		f.Ledger.Region = &n.self.Region
 	}
-	links, to := n.listeners(time.Now(), a.Region)
+	now := time.Now()
+	links, to := n.listeners(now, a.Region)
 	if links == nil {
 		return
 	}
+	beat := int(n.beats.Next(now))
 	for _, vm := range to {
-		links.Send(vm, f)
+		l := *f.Ledger
+		l.Beat, l.Confirmed = &beat, n.beats.Confirmed(vm.Name)
+		links.Send(vm, wire.Frame{Ledger: &l})
 	}
 }
 
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -43,12 +43,16 @@
 	LoseAnswers int `json:"loseAnswers"`
 	// StaleBefore, when not 0, makes reads show the store as of this version.
 	StaleBefore int64 `json:"staleBefore"`
+	// FrozenBefore is the same for the reads that allow it alone.
+	FrozenBefore int64 `json:"frozenBefore"`
 }
 
 // Counts is the number of calls since the start.
 type Counts struct {
-	// Reads counts reads; each watch counts as one.
+	// Reads counts reads; each watch counts as one. Cheap counts those of them
+	// that may be answered from the past.
 	Reads int `json:"reads"`
+	Cheap int `json:"cheap"`
 	// Writes counts writes, also refused ones.
 	Writes int `json:"writes"`
 }
@@ -89,6 +93,13 @@
 	s.faults = f
 }
 
+// Version returns the newest version of any object.
+func (s *Store) Version() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version
+}
+
 // Counts returns the number of calls so far.
 func (s *Store) Counts() Counts {
 	s.mu.Lock()
@@ -341,14 +352,18 @@
 	}
 	q := r.URL.Query()
 	kind := chi.URLParam(r, "kind") + "/"
+	cheap := q.Get("serializable") == "1"
+	if cheap {
+		s.countCheap()
+	}
 	after, err := strconv.ParseInt(q.Get("watch"), 10, 64)
 	if err != nil {
-		answer(w, http.StatusOK, s.items(kind, q.Get("after")))
+		answer(w, http.StatusOK, s.items(kind, q.Get("after"), cheap))
 		return
 	}
 	deadline := watchDeadline(q.Get("waitMs"))
 	for {
-		p, gone, changed := s.events(kind, after)
+		p, gone, changed := s.events(kind, after, cheap)
 		if gone {
 			http.Error(w, "history is gone", http.StatusGone)
 			return
@@ -371,6 +386,21 @@
 	}
 }
 
+func (s *Store) countCheap() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts.Cheap++
+}
+
+// before returns the version as of which a read is answered, 0 for the newest.
+// s.mu is held.
+func (s *Store) before(cheap bool) int64 {
+	if cheap && s.faults.FrozenBefore != 0 {
+		return s.faults.FrozenBefore
+	}
+	return s.faults.StaleBefore
+}
+
 func (s *Store) inForce() Faults {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -398,12 +428,13 @@
 }
 
 // items returns one page of the objects of a kind, those after a name.
-func (s *Store) items(kind, after string) page {
+func (s *Store) items(kind, after string, cheap bool) page {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := page{Revision: s.version, Items: []object{}}
-	if s.faults.StaleBefore != 0 {
-		p.Revision = s.faults.StaleBefore
+	before := s.before(cheap)
+	if before != 0 {
+		p.Revision = before
 	}
 	var keys []string
 	for k := range s.objects {
@@ -413,7 +444,7 @@
 	}
 	sort.Strings(keys)
 	for _, k := range keys {
-		e, ok := newestAt(s.objects[k], s.faults.StaleBefore)
+		e, ok := newestAt(s.objects[k], before)
 		if !ok {
 			continue
 		}
@@ -427,15 +458,16 @@
 }
 
 // events returns the newest change of each object of a kind since a version.
-func (s *Store) events(kind string, after int64) (p page, gone bool, changed <-chan struct{}) {
+func (s *Store) events(kind string, after int64, cheap bool) (p page, gone bool, changed <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p = page{Revision: s.version, Events: []event{}}
-	if s.faults.StaleBefore != 0 {
-		p.Revision = s.faults.StaleBefore
+	before := s.before(cheap)
+	if before != 0 {
+		p.Revision = before
 	}
 	for k, list := range s.objects {
-		e, _ := newestAt(list, s.faults.StaleBefore)
+		e, _ := newestAt(list, before)
 		if strings.HasPrefix(k, kind) && e.version > after {
 			p.Events = append(p.Events, event{Deleted: e.deleted, Object: objectOf(k, e)})
 		}
--- a/pkg/wire/wire.go
+++ b/pkg/wire/wire.go
@@ -80,6 +80,18 @@
 	Workspace string `json:"workspace"`
 }
 
+// An exact read of one prefix in the platform's store.
+type Confirmed struct {
+	// The newest beat of the receiver that the sender had when it began to read.
+	Beat int `json:"beat"`
+
+	// Prefix of the keys.
+	Prefix string `json:"prefix"`
+
+	// The store's version that was read.
+	Version int `json:"version"`
+}
+
 // One step in a request's life.
 type Event struct {
 	// Cause, when the step has one.
@@ -221,6 +233,12 @@
 // What the sender, or all VMs of its region, have placed on backend servers,
 // whole.
 type Ledger struct {
+	// Number of this message in the sender's life, from a random start.
+	Beat *int `json:"beat,omitempty,omitzero"`
+
+	// Exact reads of the platform's store by the sender.
+	Confirmed []Confirmed `json:"confirmed,omitempty,omitzero"`
+
 	// One for each server that has requests or copies of the sender.
 	Entries []LedgerEntry `json:"entries"`
 
--- a/test/gateway/store_test.go
+++ b/test/gateway/store_test.go
@@ -74,6 +74,27 @@
 	}
 }
 
+// TestReadsFromThePastAreConfirmed freezes the reads that may be old: a change is
+// in force within the bound all the same, and most reads are of the cheap kind.
+func TestReadsFromThePastAreConfirmed(t *testing.T) {
+	run(t, func(t *testing.T, w *world) {
+		w.plain("p-1", nil)
+		time.Sleep(10 * time.Second)
+		before := w.store.Counts()
+		time.Sleep(30 * time.Second)
+		after := w.store.Counts()
+		if exact := after.Reads - before.Reads - (after.Cheap - before.Cheap); exact > 40 {
+			t.Errorf("%d exact reads in 30 calm seconds", exact)
+		}
+		w.store.SetFaults(store.Faults{FrozenBefore: w.store.Version()})
+		w.configure(9, added)
+		time.Sleep(3 * time.Second)
+		if got := w.serves("/new/x"); got != 200 {
+			t.Errorf("status %d", got)
+		}
+	})
+}
+
 // TestStuckConnectionToStore leaves the watches on connections that stay open
 // and carry nothing any more.
 func TestStuckConnectionToStore(t *testing.T) {
