--- a/internal/ingress/rescue.go
+++ b/internal/ingress/rescue.go
@@ -18,6 +18,8 @@
 	// copyTimeout bounds one copy.
 	copyTimeout = 3 * time.Second
 	callTimeout = time.Second
+	// roomPause is how long a stream waits before it asks for room again.
+	roomPause = 120 * time.Millisecond
 	// maxTargets bounds the servers that are tried for one copy.
 	maxTargets = 4
 	// evacuationKept is how long a server that left is remembered.
@@ -172,18 +174,31 @@
 }
 
 // firstCopy copies the memory to a server with room while the stream goes on.
+// Where none has room it asks again until the server may be gone: other streams
+// end meanwhile.
 func (s *Server) firstCopy(st *stream, e *evacuation, tokens int) handover {
+	for {
+		h, again := s.copyOnce(st, e, tokens)
+		if h.ok || !again || !st.runsUntil(time.Now().Add(roomPause)) {
+			return h
+		}
+	}
+}
+
+// copyOnce asks one server after the other. It reports whether it is worth
+// asking again later.
+func (s *Server) copyOnce(st *stream, e *evacuation, tokens int) (h handover, again bool) {
 	select {
 	case e.turn <- struct{}{}:
 	case <-st.q.ctx.Done():
-		return handover{}
+		return handover{}, false
 	}
 	defer func() { <-e.turn }()
 	var refused []string
 	for range maxTargets {
 		target, ok := s.target(st, refused)
 		if !ok || !e.plan.MayCopy(time.Now(), tokens, e.link, s.way(e.from, target)) {
-			return handover{}
+			return handover{}, time.Now().Before(e.plan.Handover())
 		}
 		m := s.callMove(st, e.from, target, false)
 		switch m.Result {
@@ -192,16 +207,16 @@
 			c := &copyOf{target: h.to, memory: h.memory, source: e.from}
 			if !st.keep(c) {
 				s.dropCopy(c)
-				return handover{}
+				return handover{}, false
 			}
-			return h
+			return h, false
 		case platform.NoRoom:
 			refused = append(refused, target.ID)
 		default:
-			return handover{}
+			return handover{}, false
 		}
 	}
-	return handover{}
+	return handover{}, true
 }
 
 // way is how far a copy between two servers goes.
--- a/test/gateway/stream_test.go
+++ b/test/gateway/stream_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/pimentohinge/pimentohinge/internal/network"
 	"github.com/pimentohinge/pimentohinge/internal/standin/store"
 )
 
@@ -28,6 +30,26 @@
 	}
 }
 
+// occupy runs a stream on an engine as another VM would.
+func (w *world) occupy(id, attempt string, events int) {
+	client := network.Client(w.net.Host("10.3.0.3"))
+	defer client.CloseIdleConnections()
+	req, err := http.NewRequestWithContext(w.t.Context(), http.MethodPost, "http://"+w.up[id].Address()+"/x", nil)
+	if err != nil {
+		w.t.Error(err)
+		return
+	}
+	req.Header.Set("X-Pimentohinge-Attempt-Id", attempt)
+	req.Header.Set("X-Pimentohinge-Token-Usage", fmt.Sprintf("3000,%d", 4*events))
+	resp, err := client.Do(req)
+	if err != nil {
+		w.t.Error(err)
+		return
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+}
+
 // once fails the test when a request was worked on by two replicas at a time.
 func (w *world) once(attempt string) {
 	w.t.Helper()
@@ -100,6 +122,26 @@
 	})
 }
 
+// TestReclaimWhileTheOthersAreFull gives the notice while the only other engine
+// of the data centre has no room: it has some before the server is gone.
+func TestReclaimWhileTheOthersAreFull(t *testing.T) {
+	run(t, func(_ *testing.T, w *world) {
+		w.engine("e-1", "a")
+		done := w.reports(1, 200, 10*time.Millisecond)
+		w.engine("e-2", "a")
+		var fill sync.WaitGroup
+		for i := range 11 {
+			fill.Go(func() { w.occupy("e-2", fmt.Sprintf("f%d", i), 40) })
+		}
+		time.Sleep(300 * time.Millisecond)
+		w.leave("e-1")
+		time.Sleep(1600 * time.Millisecond)
+		w.up["e-1"].Stop()
+		w.whole(done()[0], 200)
+		fill.Wait()
+	})
+}
+
 // TestReclaimTwice takes the second engine away as well.
 func TestReclaimTwice(t *testing.T) {
 	run(t, func(t *testing.T, w *world) {
