--- a/cmd/pimentohinge/settings.go
+++ b/cmd/pimentohinge/settings.go
@@ -11,14 +11,19 @@
 func init() {
 	register(command{group: "settings", name: "check", help: "Check settings files and print every fault.", setup: func(c *kingpin.CmdClause) func() error {
 		files := c.Arg("file", "Settings file.").Required().Strings()
-		return func() error { return checkSettings(*files) }
+		program := c.Flag("for", "Command that the files are for: serve or gateway.").Default("serve").Enum("serve", "gateway")
+		return func() error { return checkSettings(*files, *program) }
 	}})
 }
 
-func checkSettings(files []string) error {
+func checkSettings(files []string, program string) error {
+	load := func(f string) error { _, err := settings.Load(f); return err }
+	if program == "gateway" {
+		load = func(f string) error { _, err := settings.LoadGateway(f); return err }
+	}
 	var first error
 	for _, f := range files {
-		if _, err := settings.Load(f); err != nil {
+		if err := load(f); err != nil {
 			if first != nil {
 				fmt.Println(first)
 			}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -112,32 +112,38 @@
 // that could not be opened.
 func (s *Server) Start() error {
 	l := s.opts.Settings.Listen
+	metrics := promhttp.HandlerFor(s.metrics.registry, promhttp.HandlerOpts{})
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+platform.PathReady, s.ready)
-	ready.Handle("GET /metrics", promhttp.HandlerFor(s.metrics.registry, promhttp.HandlerOpts{}))
-	readyListener, err := s.opts.Network.Listen(l.Ready)
-	if err != nil {
-		return eris.Wrapf(err, "listen for readiness at %s", l.Ready)
+	ready.Handle("GET "+metricsPath, metrics)
+	measured := http.NewServeMux()
+	measured.Handle("GET "+metricsPath, metrics)
+	for _, x := range []struct {
+		name, address string
+		handler       http.Handler
+	}{{"readiness", l.Ready, ready}, {"peers", l.Peers, s.neighbours}, {"metrics", l.Metrics, measured}} {
+		if x.address == "" {
+			continue
+		}
+		ln, err := s.opts.Network.Listen(x.address)
+		if err != nil {
+			s.Kill()
+			return eris.Wrapf(err, "listen for %s at %s", x.name, x.address)
+		}
+		side := &http.Server{Handler: x.handler, ReadHeaderTimeout: sideTimeout}
+		s.spawn(func() { _ = side.Serve(ln) })
+		context.AfterFunc(s.ctx, func() { _ = side.Close() })
 	}
 	callers, err := s.opts.Network.Listen(l.Callers)
 	if err != nil {
-		_ = readyListener.Close()
+		s.Kill()
 		return eris.Wrapf(err, "listen for callers at %s", l.Callers)
 	}
-	peers, err := s.opts.Network.Listen(l.Peers)
-	if err != nil {
-		_, _ = readyListener.Close(), callers.Close()
-		return eris.Wrapf(err, "listen for peers at %s", l.Peers)
-	}
-	side := &http.Server{Handler: ready, ReadHeaderTimeout: sideTimeout}
-	s.spawn(func() { _ = side.Serve(readyListener) })
-	links := &http.Server{Handler: s.neighbours, ReadHeaderTimeout: sideTimeout}
-	s.spawn(func() { _ = links.Serve(peers) })
-	context.AfterFunc(s.ctx, func() { _, _, _ = side.Close(), links.Close(), callers.Close() })
-	s.spawn(func() { s.neighbours.join(s.ctx, s.opts.Network) })
+	context.AfterFunc(s.ctx, func() { _ = callers.Close() })
 	s.spawn(func() { s.front.accept(callers) })
 	s.spawn(func() { s.desk.run(s.ctx) })
 	s.spawn(func() { s.catalog.Run(s.ctx) })
+	s.spawn(func() { s.neighbours.join(s.ctx, s.opts.Network) })
 	s.spawn(s.sweep)
 	s.spawn(s.lookout)
 	v := s.opts.Settings.VM
@@ -146,6 +152,9 @@
 	return nil
 }
 
+// metricsPath is where metrics are served.
+const metricsPath = "/metrics"
+
 const sideTimeout = 2 * time.Second
 
 func (s *Server) spawn(f func()) {
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -31,12 +31,18 @@
 	Ready string `json:"ready"`
 	// Peers is where other entry VMs connect.
 	Peers string `json:"peers"`
+	// Metrics is where metrics are served as text; empty for nowhere else than
+	// at Ready.
+	Metrics string `json:"metrics"`
 }
 
 func (l GatewayListen) check(c *collector) {
 	checkIPPort(c, "listen.callers", l.Callers)
 	checkIPPort(c, "listen.ready", l.Ready)
 	checkIPPort(c, "listen.peers", l.Peers)
+	if l.Metrics != "" {
+		checkIPPort(c, "listen.metrics", l.Metrics)
+	}
 	if l.Callers != "" && l.Callers == l.Ready {
 		c.add("listen.ready", "must differ from listen.callers")
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -99,3 +99,72 @@
 		}
 	})
 }
+
+// fields are what the platform fills into the template, in short.
+var fields = map[string]string{
+	"node|json": `"front-walsall-a-1"`, "region|json": `"black-country"`, "zone|json": `"walsall-a"`,
+	"listen.front|json": `"10.1.0.19:8740"`, "listen.ready|json": `"10.1.0.19:8749"`, "ip": "10.1.0.19",
+	"portRange.0": "7200", "platform.addr|json": `"10.200.1.7:8742"`, "zones|json": `{"walsall-a":"black-country"}`,
+	"bounds.graceS": "8", "bounds.configApplyMs": "3000", "bounds.drainMs": "3000", "bounds.retryRatio": "0.2",
+	"bounds.retrySlack": "52", "bounds.retryWindowS": "10",
+}
+
+func template(t *testing.T) string {
+	t.Helper()
+	b, err := os.ReadFile("../../deploy/settings.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := string(b)
+	for name, value := range fields {
+		text = strings.ReplaceAll(text, "{{"+name+"}}", value)
+	}
+	return text
+}
+
+func TestTemplateOfTheGatewayIsGood(t *testing.T) {
+	g, err := settings.ParseGateway("f", []byte(template(t)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff("10.1.0.19:7200", g.Listen.Peers); diff != "" {
+		t.Error(diff)
+	}
+	if g.DataCentres["walsall-a"] != "black-country" || g.Bounds.RetrySlack != 52 {
+		t.Errorf("%+v", g)
+	}
+}
+
+func TestFaultsOfGatewaySettings(t *testing.T) {
+	for _, c := range []struct{ from, to, want string }{
+		{`"10.1.0.19:8740"`, `"10.1.0.19:8749"`, "listen.ready"},
+		{`"10.1.0.19:8740"`, `"front:8740"`, "listen.callers"},
+		{`"10.200.1.7:8742"`, `""`, "store.address"},
+		{`"graceS": 8`, `"graceS": -1`, "bounds.graceS"},
+		{`"configMs": 3000`, `"configMs": "soon"`, "bounds.configMs"},
+		{`"retryRatio": 0.2`, `"retryRatio": 2`, "bounds.retryRatio"},
+		{`"retryWindowS": 10`, `"retryWindowS": 0`, "bounds.retryWindowS"},
+		{`"store"`, `"stores"`, "stores"},
+		{`{"walsall-a":"black-country"}`, `{"Walsall A":"black-country"}`, "dataCentres"},
+		{`{"walsall-a":"black-country"}`, `[]`, "dataCentres"},
+	} {
+		text := template(t)
+		broken := strings.Replace(text, c.from, c.to, 1)
+		if broken == text {
+			t.Fatalf("%s is not in the template", c.from)
+		}
+		_, err := settings.ParseGateway("f", []byte(broken))
+		var p *settings.Problems
+		if !errors.As(err, &p) {
+			t.Errorf("%s was accepted", c.to)
+			continue
+		}
+		found := false
+		for _, x := range p.List {
+			found = found || x.Key == c.want
+		}
+		if !found {
+			t.Errorf("%s: %v does not name %s", c.to, err, c.want)
+		}
+	}
+}
