--- a/cmd/pimentohinge/gateway.go
+++ b/cmd/pimentohinge/gateway.go
@@ -29,7 +29,9 @@
 	if err != nil {
 		return &exitError{code: exitUsage, err: err}
 	}
-	logger := logline.New(os.Stdout, g.Log.Level)
+	out := logline.NewAsync(os.Stdout)
+	defer out.Close()
+	logger := logline.New(out, g.Log.Level)
 	s := ingress.New(ingress.Options{Settings: g, Network: network.TCP{}, Log: logger})
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
--- a/internal/ingress/filters.go
+++ b/internal/ingress/filters.go
@@ -279,11 +279,13 @@
 	}
 	kind := q.route.Kind.String()
 	s.metrics.requests.WithLabelValues(kind, strconv.Itoa(q.status), cause).Inc()
-	line := s.log.Info()
 	if !q.firstByte.IsZero() {
 		s.metrics.seconds.WithLabelValues(kind).Observe(q.firstByte.Sub(q.arrived).Seconds())
 	}
-	line = line.Str("event", "ended").Str("request", q.ask.Attempt).Str("kind", kind).Str("route", q.route.Name).
+	if o.Kind == outcome.Finished && q.rescues == 0 && q.attempts <= 1 && !s.mayLog() {
+		return
+	}
+	line := s.log.Info().Str("event", "ended").Str("request", q.ask.Attempt).Str("kind", kind).Str("route", q.route.Name).
 		Str("outcome", string(o.Kind)).Str("cause", cause).Int("status", q.status).Str("server", q.server).
 		Int("attempts", q.attempts).Int64("tookMs", time.Since(q.arrived).Milliseconds())
 	if q.state != nil {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -15,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rotisserie/eris"
+	"golang.org/x/time/rate"
 
 	"github.com/pimentohinge/pimentohinge/internal/backend"
 	"github.com/pimentohinge/pimentohinge/internal/catalog"
@@ -29,6 +30,9 @@
 
 const (
 	sweepEvery = time.Second
+	// ordinaryLines is the number of log lines a second for requests that went
+	// well; all others are always written.
+	ordinaryLines = 400
 	// stopMargin is left of the grace for the process to end by itself.
 	stopMargin = 400 * time.Millisecond
 	// rotationTime is how long the balancer may still send connections after
@@ -61,6 +65,11 @@
 	// neighbours are the VMs of the same region.
 	neighbours *neighbours
 
+	// ordinary bounds the log lines of requests that went well; skipped counts
+	// those that were left out.
+	ordinary *rate.Limiter
+	skipped  atomic.Int64
+
 	lastID   atomic.Uint64
 	open     atomic.Int64
 	lastUse  atomic.Int64 // Unix ms of the last end of a request
@@ -81,7 +90,7 @@
 	s := &Server{
 		opts: o, log: o.Log, ctx: ctx, cancel: cancel, pool: replica.New(o.Network),
 		metrics: newMetrics(), streams: map[uint64]*stream{}, servers: map[string]backend.Server{},
-		evacuations: map[string]*evacuation{},
+		evacuations: map[string]*evacuation{}, ordinary: rate.NewLimiter(ordinaryLines, 2*ordinaryLines),
 	}
 	core := dispatch.New(dispatch.Options{
 		VM: o.Settings.VM.Name, DataCentre: o.Settings.VM.DataCentre, Regions: o.Settings.DataCentres,
@@ -168,7 +177,19 @@
 func (s *Server) sweep() {
 	for pause.For(s.ctx, sweepEvery) {
 		s.pool.Sweep(time.Now())
+		if n := s.skipped.Swap(0); n > 0 {
+			s.log.Info().Str("event", "linesSkipped").Int64("count", n).Msg("")
+		}
+	}
+}
+
+// mayLog reports whether there is room for a line on a request that went well.
+func (s *Server) mayLog() bool {
+	if s.ordinary.Allow() {
+		return true
 	}
+	s.skipped.Add(1)
+	return false
 }
 
 // tellLedger passes a ledger on. The VM that speaks for its region also reads
--- a/internal/ingress/plain.go
+++ b/internal/ingress/plain.go
@@ -98,6 +98,9 @@
 	switch a := a.(type) {
 	case dispatch.Placed:
 		q.server = a.Server.ID
+		if !repeat && !s.mayLog() {
+			return a, outcome.Outcome{}, true
+		}
 		s.log.Info().Str("event", "placed").Str("request", q.ask.Attempt).Str("server", a.Server.ID).
 			Str("dataCentre", a.Server.DataCentre).Int("own", a.Load.Own).Int("others", a.Load.Others).
 			Int("tokens", a.Load.Tokens).Int("capacity", a.Load.Capacity).
--- /dev/null
+++ b/internal/logline/async_test.go
@@ -0,0 +1,78 @@
+package logline_test
+
+import (
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pimentohinge/pimentohinge/internal/logline"
+)
+
+// stalled is an output whose reader stands still until it is released.
+type stalled struct {
+	release chan struct{}
+	mu      sync.Mutex
+	text    strings.Builder
+}
+
+func (s *stalled) Write(b []byte) (int, error) {
+	<-s.release
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.text.Write(b)
+}
+
+func (s *stalled) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.text.String()
+}
+
+// TestStalledReaderDelaysNobody writes from 200 streams for ten seconds while
+// nobody reads the output.
+func TestStalledReaderDelaysNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &stalled{release: make(chan struct{})}
+		a := logline.NewAsync(out)
+		logger := logline.New(a, "info")
+		began := time.Now()
+		var wg sync.WaitGroup
+		for range 200 {
+			wg.Go(func() {
+				for range 100 {
+					logger.Info().Str("event", "ended").Msg("")
+					time.Sleep(100 * time.Millisecond)
+				}
+			})
+		}
+		wg.Wait()
+		if took := time.Since(began); took != 10*time.Second {
+			t.Errorf("200 streams took %v, not 10 s", took)
+		}
+		if a.Lost() == 0 {
+			t.Error("no line was lost")
+		}
+		close(out.release)
+		synctest.Wait()
+		logger.Info().Str("event", "after").Msg("")
+		a.Close()
+		text := out.String()
+		if !strings.Contains(text, "event=linesLost count=") || !strings.Contains(text, "event=after") {
+			t.Errorf("the loss was not told, or a later line is missing: %d bytes", len(text))
+		}
+	})
+}
+
+func TestLinesAreKeptInOrder(t *testing.T) {
+	var out strings.Builder
+	a := logline.NewAsync(&out)
+	for _, line := range []string{"a\n", "b\n", "c\n"} {
+		_, _ = a.Write([]byte(line))
+	}
+	a.Close()
+	if out.String() != "a\nb\nc\n" {
+		t.Errorf("%q", out.String())
+	}
+}
