--- a/internal/control/rescue/rescue.go
+++ b/internal/control/rescue/rescue.go
@@ -16,6 +16,8 @@
 	ShortestNotice = 1500 * time.Millisecond
 	// LongestNotice is after which time a server is taken to stay for long.
 	LongestNotice = 2400 * time.Millisecond
+	// returnUntil is below the least time in which a notice must be in force.
+	returnUntil = 2500 * time.Millisecond
 	// RefreshEvery is how often a copy is brought up to date.
 	RefreshEvery = 400 * time.Millisecond
 	// firstRefresh is when copies are first brought up to date: later than the
@@ -94,6 +96,10 @@
 	return at
 }
 
+// MayReturn reports whether a stream that has stopped may go on at the server
+// itself, which must get no request once its notice is in force everywhere.
+func (p Plan) MayReturn(now time.Time) bool { return now.Before(p.Noticed.Add(returnUntil)) }
+
 // Handover is when streams stop for their last copy if the server is still
 // there: it may then stay for as long as a stream takes, or not.
 func (p Plan) Handover() time.Time { return p.Noticed.Add(LongestNotice) }
--- a/internal/control/rescue/rescue_test.go
+++ b/internal/control/rescue/rescue_test.go
@@ -66,3 +66,14 @@
 		t.Errorf("%d refreshes", n)
 	}
 }
+
+// TestNoReturnAfterTheNotice keeps requests from a server whose notice must be
+// in force, 3 s at the least.
+func TestNoReturnAfterTheNotice(t *testing.T) {
+	if !plan.MayReturn(plan.Handover()) {
+		t.Error("a stream that stops at the handover cannot go on at its server")
+	}
+	if plan.MayReturn(at(2900)) {
+		t.Error("a stream may go on at its server 2.9 s after the notice")
+	}
+}
--- a/internal/ingress/rescue.go
+++ b/internal/ingress/rescue.go
@@ -104,7 +104,7 @@
 	if !s.keepFresh(st, e, h) || !st.stop(e.from) {
 		return
 	}
-	h = s.lastCopy(st, e.from, h)
+	h = s.lastCopy(st, e, h)
 	if st.hasEnded() {
 		s.dropCopy(&copyOf{target: h.to, memory: h.memory, source: e.from})
 		return
@@ -258,18 +258,19 @@
 }
 
 // lastCopy stops the stream at its server and copies what is new.
-func (s *Server) lastCopy(st *stream, from backend.Server, first handover) handover {
-	m := s.callMove(st, from, first.to, true)
+func (s *Server) lastCopy(st *stream, e *evacuation, first handover) handover {
+	m := s.callMove(st, e.from, first.to, true)
+	memory := platform.Memory{Address: e.from.Address, Handle: m.Handle}
 	switch {
 	case m.Result == platform.Copied:
-		return handover{to: first.to, memory: platform.Memory{Address: from.Address, Handle: m.Handle}, ok: true}
-	case m.Handle != "":
+		return handover{to: first.to, memory: memory, ok: true}
+	case m.Handle != "" && e.plan.MayReturn(time.Now()):
 		// The run has stopped and its memory is still at its server.
-		return handover{to: from, memory: platform.Memory{Address: from.Address, Handle: m.Handle}, ok: true}
+		return handover{to: e.from, memory: memory, ok: true}
 	case m.Result == platform.NoRun:
 		return handover{}
 	}
-	// The server may be gone: the first copy is what is left.
+	// The server may be gone, or takes no request: the first copy is what is left.
 	return first
 }
 
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -407,8 +407,12 @@
 	}
 	r.mu.Lock()
 	g, ok := r.active[ask.ID]
-	if ok && ask.Last {
-		g.halt()
+	size := 0
+	if ok {
+		size = g.tokens
+		if ask.Last {
+			g.halt()
+		}
 	}
 	r.mu.Unlock()
 	if !ok {
@@ -417,11 +421,11 @@
 	}
 	handle := "h-" + ask.ID
 	target := r.grid.at(ask.Target)
-	if target == nil || !target.reserve(handle, ask.ID, g.tokens) {
+	if target == nil || !target.reserve(handle, ask.ID, size) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		if ask.Last {
 			r.mu.Lock()
-			r.copies[handle] = &memory{attempt: ask.ID, tokens: g.tokens, stopped: true}
+			r.copies[handle] = &memory{attempt: ask.ID, tokens: size, stopped: true}
 			r.mu.Unlock()
 			_ = json.NewEncoder(w).Encode(map[string]any{"handle": handle})
 		}
