ingress: bound the memory of bodies

Cause: bodies of up to 4 MB are read whole before they are sent; a few dozen at once would exceed the smallest VM's 112 MB. Change: bodies take a sixth of the VM's memory at most, beyond that requests are refused as not run; the collector works harder from 70% on. Figures: 24 bodies of 1 MB at once on a VM of 64 MB: some refused, the rest served, and the next one too.

--- a/cmd/pimentohinge/gateway.go
+++ b/cmd/pimentohinge/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -17,6 +18,10 @@
 	"github.com/pimentohinge/pimentohinge/platform"
 )
 
+// memoryPercent is the share of the VM's memory from which on the garbage
+// collector works harder.
+const memoryPercent = 70
+
 func init() {
 	register(command{name: "gateway", help: "Run an entry VM on the users' platform.", setup: func(c *kingpin.CmdClause) func() error {
 		file := c.Flag("settings", "Settings file; by default the one that the platform names.").Default(platform.SettingsPath()).String()
@@ -32,6 +37,7 @@
 	out := logline.NewAsync(os.Stdout)
 	defer out.Close()
 	logger := logline.New(out, g.Log.Level)
+	debug.SetMemoryLimit(int64(g.MemoryMb) << 20 / 100 * memoryPercent)
 	s := ingress.New(ingress.Options{Settings: g, Network: network.TCP{}, Log: logger})
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
--- a/internal/ingress/filters.go
+++ b/internal/ingress/filters.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/go-chi/chi/v5"
+	"github.com/rotisserie/eris"
 
 	"github.com/pimentohinge/pimentohinge/internal/outcome"
 	"github.com/pimentohinge/pimentohinge/internal/routing"
@@ -47,6 +49,7 @@
 	service   string
 	workspace *routing.Workspace
 	body      []byte
+	held      *held
 	// deadline is the earlier of the caller's and the route's.
 	deadline time.Time
 	ctx      context.Context // ends at the deadline and when the caller leaves
@@ -94,6 +97,7 @@
 		w: w, r: r, id: s.lastID.Add(1), ask: platform.ReadAsk(r.Header), arrived: time.Now(),
 		state: s.catalog.State(),
 	}
+	defer func() { q.held.release() }()
 	if s.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -212,10 +216,14 @@
 	}
 	rc := http.NewResponseController(q.w)
 	_ = rc.SetReadDeadline(time.Now().Add(min(bodyTimeout, time.Until(q.deadline))))
-	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, int64(limit)))
+	q.held = &held{server: s}
+	body, err := io.ReadAll(io.TeeReader(http.MaxBytesReader(q.w, q.r.Body, int64(limit)), q.held))
 	_ = rc.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, errVMFull):
+		q.w.Header().Set("Connection", "close")
+		return end(outcome.VMFull, "", shortRetry)
 	case err == nil:
 		q.body = body
 		return pass()
@@ -228,6 +236,31 @@
 	return end(outcome.SlowBody, err.Error(), 0)
 }
 
+// held is the memory that the body of a request takes.
+type held struct {
+	server *Server
+	bytes  int64
+}
+
+var errVMFull = eris.New("no memory left for bodies")
+
+// Write counts what was read. It fails when all bodies together take too much.
+func (h *held) Write(b []byte) (int, error) {
+	n := int64(len(b))
+	h.bytes += n
+	if h.server.bodies.Add(n) > h.server.bodyLimit {
+		return 0, errVMFull
+	}
+	return len(b), nil
+}
+
+// release gives the memory back.
+func (h *held) release() {
+	if h != nil {
+		h.server.bodies.Add(-h.bytes)
+	}
+}
+
 // refuse writes an answer that no replica made.
 func (s *Server) refuse(q *request, o outcome.Outcome) {
 	status := o.Cause.Status()
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -30,6 +30,8 @@
 
 const (
 	sweepEvery = time.Second
+	// bodyShare is the part of the VM's memory that bodies may take, as a divisor.
+	bodyShare = 6
 	// ordinaryLines is the number of log lines a second for requests that went
 	// well; all others are always written.
 	ordinaryLines = 400
@@ -70,6 +72,10 @@
 	ordinary *rate.Limiter
 	skipped  atomic.Int64
 
+	// bodies is the memory that bodies take, bodyLimit the most of it, in bytes.
+	bodies    atomic.Int64
+	bodyLimit int64
+
 	lastID   atomic.Uint64
 	open     atomic.Int64
 	lastUse  atomic.Int64 // Unix ms of the last end of a request
@@ -90,6 +96,7 @@
 	s := &Server{
 		opts: o, log: o.Log, ctx: ctx, cancel: cancel, pool: replica.New(o.Network),
 		metrics: newMetrics(), streams: map[uint64]*stream{}, servers: map[string]backend.Server{},
+		bodyLimit:   int64(o.Settings.MemoryMb) << 20 / bodyShare,
 		evacuations: map[string]*evacuation{}, ordinary: rate.NewLimiter(ordinaryLines, 2*ordinaryLines),
 	}
 	core := dispatch.New(dispatch.Options{
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -61,6 +61,7 @@
 	NotReady         Cause = "notReady"
 	SlowBody         Cause = "slowBody"
 	BrokenAnswer     Cause = "brokenAnswer"
+	VMFull           Cause = "vmFull"
 )
 
 // Outcome is the end of a request as a value.
@@ -125,6 +126,7 @@
 	VMLost:           {http.StatusBadGateway, "The entry VM died."},
 	NotReady:         {http.StatusServiceUnavailable, "The entry VM had no configuration yet."},
 	SlowBody:         {http.StatusRequestTimeout, "The body of the request did not arrive in time."},
+	VMFull:           {http.StatusServiceUnavailable, "The entry VM had no memory left for the body of the request."},
 	BrokenAnswer:     {http.StatusBadGateway, "The backend server sent what is no answer to the request, or broke it off."},
 	WeightStoreRate:  {http.StatusServiceUnavailable, "The model's weights were still loading at the weight store's rate."},
 }
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -19,6 +19,8 @@
 	DataCentres map[string]string `json:"dataCentres"`
 	// Bounds are the deployment's bounds.
 	Bounds Bounds `json:"bounds"`
+	// MemoryMb is the memory of the process in megabytes.
+	MemoryMb int `json:"memoryMb"`
 	// Log selects the log level.
 	Log Log `json:"log"`
 }
@@ -75,6 +77,8 @@
 const (
 	maxGraceS       = 600
 	maxRetryWindowS = 600
+	minMemoryMb     = 16
+	maxMemoryMb     = 1 << 20
 	minBoundMs      = 500
 	maxBoundMs      = 600_000
 )
@@ -110,6 +114,7 @@
 		checkName(c, "dataCentres."+name, g.DataCentres[name])
 	}
 	g.Bounds.check(c)
+	checkRange(c, "memoryMb", g.MemoryMb, minMemoryMb, maxMemoryMb)
 	g.Log.check(c)
 	if len(c.list) > 0 {
 		return Gateway{}, &Problems{File: file, List: dedupe(c.list)}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -106,7 +106,7 @@
 	"listen.front|json": `"10.1.0.19:8740"`, "listen.ready|json": `"10.1.0.19:8749"`, "ip": "10.1.0.19",
 	"portRange.0": "7200", "platform.addr|json": `"10.200.1.7:8742"`, "zones|json": `{"walsall-a":"black-country"}`,
 	"bounds.graceS": "8", "bounds.configApplyMs": "3000", "bounds.drainMs": "3000", "bounds.retryRatio": "0.2",
-	"bounds.retrySlack": "52", "bounds.retryWindowS": "10",
+	"limits.memoryMb": "134", "bounds.retrySlack": "52", "bounds.retryWindowS": "10",
 }
 
 func template(t *testing.T) string {
@@ -144,6 +144,7 @@
 		{`"configMs": 3000`, `"configMs": "soon"`, "bounds.configMs"},
 		{`"retryRatio": 0.2`, `"retryRatio": 2`, "bounds.retryRatio"},
 		{`"retryWindowS": 10`, `"retryWindowS": 0`, "bounds.retryWindowS"},
+		{`"memoryMb": 134`, `"memoryMb": 1`, "memoryMb"},
 		{`"store"`, `"stores"`, "stores"},
 		{`{"walsall-a":"black-country"}`, `{"Walsall A":"black-country"}`, "dataCentres"},
 		{`{"walsall-a":"black-country"}`, `[]`, "dataCentres"},
--- a/test/gateway/plain_test.go
+++ b/test/gateway/plain_test.go
@@ -4,7 +4,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -167,3 +170,29 @@
 		}
 	})
 }
+
+// TestManyLargeBodies sends more than the VM has memory for at once: what finds
+// none is refused, and the rest is served.
+func TestManyLargeBodies(t *testing.T) {
+	run(t, func(t *testing.T, w *world) {
+		w.plain("p-1", nil)
+		var mu sync.Mutex
+		statuses := map[int]int{}
+		var wg sync.WaitGroup
+		for i := range 24 {
+			wg.Go(func() {
+				a := w.callWith(w.t.Context(), http.MethodPost, "/unsafe/x", fmt.Sprintf("b%d", i), nil, strings.Repeat("x", 1<<20))
+				mu.Lock()
+				defer mu.Unlock()
+				statuses[a.status]++
+			})
+		}
+		wg.Wait()
+		if statuses[200] < 8 || statuses[503] == 0 || statuses[200]+statuses[503] != 24 {
+			t.Errorf("statuses %v", statuses)
+		}
+		if a := w.callWith(w.t.Context(), http.MethodPost, "/unsafe/x", "after", nil, strings.Repeat("x", 1<<20)); a.status != 200 {
+			t.Errorf("status %d when the others had ended", a.status)
+		}
+	})
+}
--- a/test/gateway/world_test.go
+++ b/test/gateway/world_test.go
@@ -115,6 +115,7 @@
 			VM:          settings.VM{Name: "vm-1", Region: "r1", DataCentre: "a"},
 			Listen:      settings.GatewayListen{Callers: callers, Ready: readyAddr, Peers: vmHost + ":8002"},
 			Store:       settings.Store{Address: storeAddr},
+			MemoryMb:    64,
 			DataCentres: map[string]string{"a": "r1", "b": "r2"},
 			Bounds:      settings.Bounds{GraceS: 8, ConfigMs: 3000, DrainMs: 3000, RetryRatio: 0.2, RetrySlack: 50, RetryWindowS: 10},
 		},
@@ -210,9 +211,14 @@
 
 // call makes one request as a caller.
 func (w *world) call(ctx context.Context, method, path, attempt string, header http.Header) answer {
+	return w.callWith(ctx, method, path, attempt, header, "")
+}
+
+// callWith is call with a body.
+func (w *world) callWith(ctx context.Context, method, path, attempt string, header http.Header, body string) answer {
 	client := network.Client(w.net.Host("10.3.0.1"))
 	defer client.CloseIdleConnections()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+callers+path, nil)
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+callers+path, strings.NewReader(body))
 	if err != nil {
 		w.t.Fatal(err)
 	}
