--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -59,11 +59,11 @@
 }
 
 // send returns the body of the answer.
-func send(t *testing.T, p *replica.Pool, s *script, id, body string) (string, error) {
+func send(t *testing.T, p *replica.Pool, s *script, body string) (string, error) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
-	a, err := p.Send(ctx, s.address, request(id, body))
+	a, err := p.Send(ctx, s.address, request("a", body))
 	if err != nil {
 		return "", err
 	}
@@ -94,7 +94,7 @@
 	})
 	p := replica.New(network.TCP{})
 	for range 5 {
-		if got, err := send(t, p, s, "a", "body"); got != "ok" || err != nil {
+		if got, err := send(t, p, s, "body"); got != "ok" || err != nil {
 			t.Fatalf("%q, %v", got, err)
 		}
 	}
@@ -113,7 +113,7 @@
 	})
 	p := replica.New(network.TCP{})
 	for range 2 {
-		if got, err := send(t, p, s, "a", ""); got != "ok" || err != nil {
+		if got, err := send(t, p, s, ""); got != "ok" || err != nil {
 			t.Fatalf("%q, %v", got, err)
 		}
 	}
@@ -137,7 +137,7 @@
 	})
 	p := replica.New(network.TCP{})
 	for range 3 {
-		if got, err := send(t, p, s, "a", ""); got != "ok" || err != nil {
+		if got, err := send(t, p, s, ""); got != "ok" || err != nil {
 			t.Fatalf("%q, %v", got, err)
 		}
 		<-sent
@@ -163,7 +163,7 @@
 	p := replica.New(network.TCP{})
 	body := strings.Repeat("x", 16<<20)
 	for range 2 {
-		if got, err := send(t, p, s, "a", body); got != "no" || err != nil {
+		if got, err := send(t, p, s, body); got != "no" || err != nil {
 			t.Fatalf("%q, %v", got, err)
 		}
 	}
@@ -189,14 +189,14 @@
 					_, _ = io.WriteString(conn, c.reply)
 				}
 			})
-			got, err := send(t, replica.New(network.TCP{}), s, "a", "")
+			got, err := send(t, replica.New(network.TCP{}), s, "")
 			if !errors.Is(err, c.want) || c.want == nil && got != "whole" {
 				t.Errorf("%q, %v", got, err)
 			}
 		})
 	}
 	s := &script{address: "127.0.0.1:1"}
-	if _, err := send(t, replica.New(network.TCP{}), s, "a", ""); !errors.Is(err, replica.ErrNotSent) {
+	if _, err := send(t, replica.New(network.TCP{}), s, ""); !errors.Is(err, replica.ErrNotSent) {
 		t.Errorf("nothing listens: %v", err)
 	}
 }
