ingress: pass answers on without a type of our own; leave OPTIONS * to nobody

Cause: net/http adds a Content-Type where a replica sends none, and answers OPTIONS * with 200 by itself, a success that no replica made; found by reading. Change: no type is guessed, general OPTIONS are not answered, HEAD keeps its length; the desk lets go of those who wait when the server has stopped. Figures: TestAnswersAreNotChanged fails before and passes now.

--- a/internal/ingress/desk.go
+++ b/internal/ingress/desk.go
@@ -16,6 +16,7 @@
 // desk owns the decision core: one goroutine gives it messages and hands its
 // actions to those who wait for them.
 type desk struct {
+	ctx      context.Context // ends when the server has stopped
 	core     *dispatch.Core
 	messages chan dispatch.Message
 	// rescue and ledger are called from the desk's goroutine and do not block.
@@ -26,20 +27,20 @@
 	waiting map[uint64]chan dispatch.Action
 }
 
-func newDesk(core *dispatch.Core, rescue func(dispatch.Rescue), ledger func(dispatch.TellLedger)) *desk {
+func newDesk(ctx context.Context, core *dispatch.Core, rescue func(dispatch.Rescue), ledger func(dispatch.TellLedger)) *desk {
 	return &desk{
-		core: core, rescue: rescue, ledger: ledger, messages: make(chan dispatch.Message, deskQueue),
+		ctx: ctx, core: core, rescue: rescue, ledger: ledger, messages: make(chan dispatch.Message, deskQueue),
 		waiting: map[uint64]chan dispatch.Action{},
 	}
 }
 
-func (d *desk) run(ctx context.Context) {
+func (d *desk) run() {
 	t := time.NewTicker(tickEvery)
 	defer t.Stop()
 	for {
 		var m dispatch.Message = dispatch.Tick{}
 		select {
-		case <-ctx.Done():
+		case <-d.ctx.Done():
 			return
 		case m = <-d.messages:
 		case <-t.C:
@@ -79,7 +80,12 @@
 }
 
 // tell gives the core a message.
-func (d *desk) tell(m dispatch.Message) { d.messages <- m }
+func (d *desk) tell(m dispatch.Message) {
+	select {
+	case d.messages <- m:
+	case <-d.ctx.Done():
+	}
+}
 
 // await gives the core a message and waits for the answer under a key. It
 // reports false when the context ended first.
@@ -93,6 +99,7 @@
 	case a := <-ch:
 		return a, true
 	case <-ctx.Done():
+	case <-d.ctx.Done():
 	}
 	d.mu.Lock()
 	delete(d.waiting, key)
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -107,7 +107,7 @@
 	store := platform.New("http://"+o.Settings.Store.Address, network.Client(o.Network))
 	s.neighbours = newNeighbours(o.Settings, store, o.Log, func(m dispatch.PeerLedger) { s.desk.tell(m) })
 	s.neighbours.confirm = func(prefix string, c catalog.Confirmation) { s.catalog.Confirm(prefix, c) }
-	s.desk = newDesk(core, s.rescue, s.tellLedger)
+	s.desk = newDesk(ctx, core, s.rescue, s.tellLedger)
 	s.catalog = catalog.New(catalog.Options{
 		Store: store, Log: o.Log, Bound: time.Duration(min(b.ConfigMs, b.DrainMs)) * time.Millisecond,
 		State: s.takeState, Servers: s.takeServers, ExactRead: s.exactRead,
@@ -157,7 +157,7 @@
 	}
 	context.AfterFunc(s.ctx, func() { _ = callers.Close() })
 	s.spawn(func() { s.front.accept(callers) })
-	s.spawn(func() { s.desk.run(s.ctx) })
+	s.spawn(func() { s.desk.run() })
 	s.spawn(func() { s.catalog.Run(s.ctx) })
 	s.spawn(func() { s.neighbours.join(s.ctx, s.opts.Network) })
 	s.spawn(s.sweep)
@@ -369,6 +369,8 @@
 	server := &http.Server{
 		Handler: f.handler, MaxHeaderBytes: defaultHeaderBytes,
 		ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
+		// Every success is a replica's.
+		DisableGeneralOptionsHandler: true,
 	}
 	if l.HeaderBytes > 0 {
 		server.MaxHeaderBytes = l.HeaderBytes
--- a/internal/ingress/plain.go
+++ b/internal/ingress/plain.go
@@ -253,10 +253,20 @@
 	if closing != "" {
 		h.Set("Connection", closing)
 	}
-	h.Set("Content-Length", strconv.Itoa(len(r.body)))
+	if len(h.Values("Content-Type")) == 0 {
+		// Keeps net/http from guessing one.
+		h["Content-Type"] = nil
+	}
+	length := int64(len(r.body))
+	if q.r.Method == http.MethodHead {
+		length = r.answer.Length
+	}
+	if length >= 0 && mayHaveBody(r.answer.Status) {
+		h.Set("Content-Length", strconv.FormatInt(length, 10))
+	}
 	q.status = r.answer.Status
 	q.w.WriteHeader(r.answer.Status)
-	if q.r.Method != http.MethodHead {
+	if q.r.Method != http.MethodHead && mayHaveBody(r.answer.Status) {
 		_, _ = q.w.Write(r.body)
 	}
 	if r.answer.Status >= 500 {
@@ -264,3 +274,8 @@
 	}
 	return outcome.Done(0)
 }
+
+// mayHaveBody reports whether answers of a status have a body.
+func mayHaveBody(status int) bool {
+	return status != http.StatusNoContent && status != http.StatusNotModified
+}
--- a/test/gateway/plain_test.go
+++ b/test/gateway/plain_test.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -196,3 +197,24 @@
 		}
 	})
 }
+
+// TestAnswersAreNotChanged checks that nothing is added to a replica's answer and
+// that no success comes from elsewhere.
+func TestAnswersAreNotChanged(t *testing.T) {
+	run(t, func(t *testing.T, w *world) {
+		w.plain("p-1", always(upstream.Unframed))
+		a := w.call(w.t.Context(), http.MethodGet, "/safe/x", "a1", nil)
+		if a.status != 200 || a.header.Get("Content-Type") != "" || a.header.Get("X-Pimentohinge-Response-Stamp") != "s" {
+			t.Errorf("status %d, header %v", a.status, a.header)
+		}
+		conn, err := w.net.Host("10.3.0.4").Dial(w.t.Context(), callers)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.WriteString(conn, "OPTIONS * HTTP/1.1\r\nHost: acme.example\r\nConnection: close\r\n\r\n")
+		text, _ := io.ReadAll(conn)
+		if strings.HasPrefix(string(text), "HTTP/1.1 2") {
+			t.Errorf("%s", text)
+		}
+	})
+}
