dispatch: share the fixed part of the retry budget by the fleet's size; try ejected servers again

Cause, found by reading: each VM took a tenth of the fixed part of the budget, so that 79 VMs could use eight times what is allowed; and a replica that failed half of its requests was left alone for good, as only a success lowered its share of failures. Change: the number of VMs that are known divides the fixed part; a replica that failed gets a request again after 2 s.

--- a/internal/control/dispatch/budget.go
+++ b/internal/control/dispatch/budget.go
@@ -2,7 +2,14 @@
 
 import "time"
 
-const budgetBuckets = 20
+const (
+	budgetBuckets = 20
+	// ownRatio keeps a part of the shared ratio in reserve, as VMs count their
+	// windows apart.
+	ownRatio = 0.75
+	// leastFleet divides the fixed part of a budget while fewer VMs are known.
+	leastFleet = 10
+)
 
 // window counts what happened in the last span of time, in buckets.
 type window struct {
@@ -43,7 +50,7 @@
 // budget bounds the repeats of one service by this VM.
 type budget struct {
 	requests, repeats window
-	ratio, share      float64
+	ratio             float64
 }
 
 func (c *Core) budget(service string) *budget {
@@ -51,14 +58,15 @@
 	if !ok {
 		b = &budget{
 			requests: window{span: c.opts.RetryWindow}, repeats: window{span: c.opts.RetryWindow},
-			ratio: c.opts.RetryRatio, share: c.opts.RetryShare,
+			ratio: c.opts.RetryRatio * ownRatio,
 		}
 		c.budgets[service] = b
 	}
 	return b
 }
 
-// allows reports whether one more repeat keeps within the budget.
-func (b *budget) allows(now time.Time) bool {
-	return float64(b.repeats.sum(now)+1) <= b.ratio*float64(b.requests.sum(now))+b.share
+// allows reports whether one more repeat keeps within the budget, of whose fixed
+// part this VM has a share.
+func (b *budget) allows(now time.Time, share float64) bool {
+	return float64(b.repeats.sum(now)+1) <= b.ratio*float64(b.requests.sum(now))+share
 }
--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -16,11 +16,11 @@
 	// DataCentre is the VM's own; Regions names the region of each.
 	DataCentre string
 	Regions    map[string]string
-	// RetryRatio, RetryWindow and RetryShare bound the repeats of a service by
-	// this VM: in each window a share of its requests and a fixed number.
+	// RetryRatio, RetryWindow and RetrySlack bound the repeats of a service by all
+	// VMs: in each window a share of its requests and a fixed number.
 	RetryRatio  float64
 	RetryWindow time.Duration
-	RetryShare  float64
+	RetrySlack  float64
 }
 
 // Core holds what this VM believes of the servers and of its own requests. It
@@ -31,6 +31,8 @@
 	servers  map[string]*server
 	runs     map[uint64]*run
 	budgets  map[string]*budget
+	// fleet is how many VMs share the budgets of repeats.
+	fleet int
 	// peers are the ledgers of VMs of this region, regions those of others.
 	peers, regions map[string]peerLedger
 	// toldAt is when the ledger was last told; changed is set since then.
@@ -49,8 +51,9 @@
 	// others is how many requests of other VMs it had at heardAt.
 	others  int
 	heardAt time.Time
-	// fails is a moving share of requests that failed.
-	fails float64
+	// fails is a moving share of requests that failed, failedAt when the last did.
+	fails    float64
+	failedAt time.Time
 	// avoidUntil keeps requests away after it could not be reached or shed.
 	avoidUntil time.Time
 	// noticed is set once its streams were told to move.
@@ -84,7 +87,7 @@
 	case ServicesChanged:
 		c.services = m.Services
 	case ServersChanged:
-		c.setServers(now, m.Servers)
+		c.setServers(m.Servers)
 	case Ask:
 		c.ask(now, m)
 	case Started:
@@ -103,6 +106,8 @@
 		if r, ok := c.runs[m.ID]; ok {
 			r.dropTarget()
 		}
+	case FleetSize:
+		c.fleet = m.VMs
 	case Suspect:
 		if s, ok := c.servers[m.Server]; ok {
 			s.Leaving = true
@@ -120,7 +125,7 @@
 
 func (c *Core) act(a Action) { c.actions = append(c.actions, a) }
 
-func (c *Core) setServers(now time.Time, list []backend.Server) {
+func (c *Core) setServers(list []backend.Server) {
 	seen := map[string]bool{}
 	for _, x := range list {
 		seen[x.ID] = true
@@ -145,7 +150,6 @@
 			delete(c.servers, id)
 		}
 	}
-	_ = now
 }
 
 // notice tells once that a server leaves and which streams are on it.
@@ -210,6 +214,7 @@
 		s.fails *= failureMemory
 	case Failed:
 		s.fails = s.fails*failureMemory + 1 - failureMemory
+		s.failedAt = now
 	case Shed:
 		s.avoidUntil = now.Add(shedPause)
 	case Unreached:
--- a/internal/control/dispatch/messages.go
+++ b/internal/control/dispatch/messages.go
@@ -105,6 +105,9 @@
 // DropTarget tells that the room held for a stream's copy is free again.
 type DropTarget struct{ ID uint64 }
 
+// FleetSize tells how many VMs there are.
+type FleetSize struct{ VMs int }
+
 // Suspect tells that a server says by itself that it leaves.
 type Suspect struct{ Server string }
 
@@ -139,6 +142,7 @@
 func (Resumed) message()         {}
 func (WantTarget) message()      {}
 func (DropTarget) message()      {}
+func (FleetSize) message()       {}
 func (Suspect) message()         {}
 func (PeerLedger) message()      {}
 func (Retell) message()          {}
--- a/internal/control/dispatch/place.go
+++ b/internal/control/dispatch/place.go
@@ -13,6 +13,8 @@
 	failureMemory = 0.9
 	// ejectShare is the share of failures from which on a server is avoided.
 	ejectShare = 0.5
+	// ejectPause is how long a server that fails is left alone.
+	ejectPause = 2 * time.Second
 	// shedPause keeps requests from a server that was full a moment ago.
 	shedPause = 150 * time.Millisecond
 	// unreachedPause keeps requests from a server that could not be reached.
@@ -45,7 +47,7 @@
 // ask places a request or refuses it.
 func (c *Core) ask(now time.Time, a Ask) {
 	b := c.budget(a.Service)
-	if a.Repeat && !b.allows(now) {
+	if a.Repeat && !b.allows(now, c.opts.RetrySlack/float64(max(leastFleet, c.fleet))) {
 		c.act(Refused{ID: a.ID, Cause: outcome.RetryBudget, RetryAt: now.Add(time.Second)})
 		return
 	}
@@ -67,6 +69,12 @@
 	c.changed = true
 }
 
+// ejected reports whether a server fails too many requests. After a pause it
+// gets one again, and more once it serves them.
+func (s *server) ejected(now time.Time) bool {
+	return s.fails > ejectShare && now.Sub(s.failedAt) < ejectPause
+}
+
 // choose returns the server on which a request is expected to be served first,
 // or nil when the service has none.
 func (c *Core) choose(now time.Time, r *run, tried []string) *server {
@@ -93,7 +101,7 @@
 	if now.Before(s.avoidUntil) {
 		cost += avoidCost
 	}
-	if s.fails > ejectShare {
+	if s.ejected(now) {
 		cost += avoidCost
 	}
 	if e := c.services[s.Service].Engine; e != nil {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -101,11 +101,12 @@
 	}
 	core := dispatch.New(dispatch.Options{
 		VM: o.Settings.VM.Name, DataCentre: o.Settings.VM.DataCentre, Regions: o.Settings.DataCentres,
-		RetryRatio: b.RetryRatio * retryShareOfRatio, RetryWindow: time.Duration(b.RetryWindowS * float64(time.Second)),
-		RetryShare: b.RetrySlack / assumedVMs,
+		RetryRatio: b.RetryRatio, RetryWindow: time.Duration(b.RetryWindowS * float64(time.Second)),
+		RetrySlack: b.RetrySlack,
 	})
 	store := platform.New("http://"+o.Settings.Store.Address, network.Client(o.Network))
 	s.neighbours = newNeighbours(o.Settings, store, o.Log, func(m dispatch.PeerLedger) { s.desk.tell(m) })
+	s.neighbours.grown = func(vms int) { s.desk.tell(dispatch.FleetSize{VMs: vms}) }
 	s.neighbours.confirm = func(prefix string, c catalog.Confirmation) { s.catalog.Confirm(prefix, c) }
 	s.desk = newDesk(ctx, core, s.rescue, s.tellLedger)
 	s.catalog = catalog.New(catalog.Options{
@@ -116,14 +117,6 @@
 	return s
 }
 
-const (
-	// retryShareOfRatio keeps a part of the shared ratio in reserve, as the
-	// VMs count their windows apart.
-	retryShareOfRatio = 0.75
-	// assumedVMs divides the fixed part of the retry budget.
-	assumedVMs = 10
-)
-
 // Start opens the listeners and starts all work. The error names the address
 // that could not be opened.
 func (s *Server) Start() error {
--- a/internal/ingress/neighbours.go
+++ b/internal/ingress/neighbours.go
@@ -49,6 +49,8 @@
 	// confirm takes exact reads of other VMs.
 	confirm func(prefix string, c catalog.Confirmation)
 	beats   *beats.Book
+	// grown is told how many VMs are known.
+	grown func(vms int)
 
 	mu    sync.Mutex
 	links *peer.Links // nil before the VM has joined
@@ -139,7 +141,11 @@
 // take replaces the list of neighbours.
 func (n *neighbours) take(l platform.Listing) {
 	n.mu.Lock()
-	defer n.mu.Unlock()
+	defer func() {
+		vms := len(n.vms) + 1
+		n.mu.Unlock()
+		n.grown(vms)
+	}()
 	for _, o := range l.Objects {
 		var vm wire.VM
 		if json.Unmarshal(o.Value, &vm) == nil && vm.Name != n.self.Name && vm.Name != "" {
@@ -163,9 +169,11 @@
 // met takes a VM that linked to this one.
 func (n *neighbours) met(vm wire.VM) {
 	n.mu.Lock()
-	defer n.mu.Unlock()
 	n.vms[vm.Name] = vm
 	delete(n.away, vm.Name)
+	vms := len(n.vms) + 1
+	n.mu.Unlock()
+	n.grown(vms)
 }
 
 func (n *neighbours) unreachable(name string, _ wire.Frame) {
