--- a/test/gateway/world_test.go
+++ b/test/gateway/world_test.go
@@ -39,7 +39,9 @@
 	grid  *upstream.Grid
 	vm    *ingress.Server
 	log   *lines
-	up    map[string]*upstream.Replica
+	// callers is the VM that calls go to.
+	callers string
+	up      map[string]*upstream.Replica
 }
 
 // lines keeps what the VM logs.
@@ -67,7 +69,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := &world{
 			t: t, net: pipenet.New(), store: store.New(), grid: upstream.NewGrid(), log: &lines{},
-			up: map[string]*upstream.Replica{},
+			up: map[string]*upstream.Replica{}, callers: callers,
 		}
 		w.net.Delay = func(from, to string) time.Duration {
 			if from == to {
@@ -109,21 +111,27 @@
 }
 
 func (w *world) startVM() {
-	w.vm = ingress.New(ingress.Options{
-		Network: w.net.Host(vmHost), Log: logline.New(w.log, "info"),
+	w.vm = w.newVM("vm-1", vmHost)
+	time.Sleep(100 * time.Millisecond)
+}
+
+// newVM starts an entry VM in data centre a.
+func (w *world) newVM(name, host string) *ingress.Server {
+	vm := ingress.New(ingress.Options{
+		Network: w.net.Host(host), Log: logline.New(w.log, "info"),
 		Settings: settings.Gateway{
-			VM:          settings.VM{Name: "vm-1", Region: "r1", DataCentre: "a"},
-			Listen:      settings.GatewayListen{Callers: callers, Ready: readyAddr, Peers: vmHost + ":8002"},
+			VM:          settings.VM{Name: name, Region: "r1", DataCentre: "a"},
+			Listen:      settings.GatewayListen{Callers: host + ":8000", Ready: host + ":8001", Peers: host + ":8002"},
 			Store:       settings.Store{Address: storeAddr},
 			MemoryMb:    64,
 			DataCentres: map[string]string{"a": "r1", "b": "r2"},
 			Bounds:      settings.Bounds{GraceS: 8, ConfigMs: 3000, DrainMs: 3000, RetryRatio: 0.2, RetrySlack: 50, RetryWindowS: 10},
 		},
 	})
-	if err := w.vm.Start(); err != nil {
+	if err := vm.Start(); err != nil {
 		w.t.Fatal(err)
 	}
-	time.Sleep(100 * time.Millisecond)
+	return vm
 }
 
 type object = map[string]any
@@ -218,7 +226,7 @@
 func (w *world) callWith(ctx context.Context, method, path, attempt string, header http.Header, body string) answer {
 	client := network.Client(w.net.Host("10.3.0.1"))
 	defer client.CloseIdleConnections()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+callers+path, strings.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+w.callers+path, strings.NewReader(body))
 	if err != nil {
 		w.t.Fatal(err)
 	}
