--- a/cmd/pimentohinge/demo.go
+++ b/cmd/pimentohinge/demo.go
@@ -24,7 +24,13 @@
 func init() {
 	register(command{name: "demo", help: "Run a small fleet with stand-ins in this process and show what it does.", setup: func(c *kingpin.CmdClause) func() error {
 		logs := c.Flag("logs", "Write the VMs' log lines to stderr.").Bool()
-		return func() error { return runDemo(*logs) }
+		gateway := c.Flag("gateway", "Show the gateway of the users' platform.").Bool()
+		return func() error {
+			if *gateway {
+				return runGatewayDemo(*logs)
+			}
+			return runDemo(*logs)
+		}
 	}})
 }
 
