standin: make callers' requests of the users' platform in one place

Cause: the demo and the tests spelt the platform's headers themselves. Change: upstream.Ask builds them.

--- a/cmd/pimentohinge/demogateway.go
+++ b/cmd/pimentohinge/demogateway.go
@@ -26,6 +26,7 @@
 	gatewayHost    = "reports.example"
 	gatewayKey     = "demo-key"
 	gatewayEvents  = 150
+	engineStride   = 4
 	gatewayGrace   = 8.0
 	gatewayBoundMs = 3000
 	demoNotice     = 1600 * time.Millisecond
@@ -93,7 +94,7 @@
 	}
 	s := &http.Server{Handler: d.store.Handler(), ReadHeaderTimeout: readHeaderTimeout}
 	go func() { _ = s.Serve(ln) }()
-	engine := &upstream.Engine{Capacity: 34000, Stride: 4, EventTime: 30 * time.Millisecond, PromptPerMs: 14, CopyPerMs: 18}
+	engine := &upstream.Engine{Capacity: 34000, Stride: engineStride, EventTime: 30 * time.Millisecond, PromptPerMs: 14, CopyPerMs: 18}
 	for _, x := range []struct {
 		id, service, address string
 		engine               *upstream.Engine
@@ -157,7 +158,7 @@
 		"services": []any{
 			map[string]any{"name": "tag-ledger", "maxConns": 96},
 			map[string]any{"name": "report-writer", "maxConns": 222, "engine": map[string]any{
-				"slots": 24, "kvCapacity": 34000, "kvTokenBytes": 163840, "linkMbps": 24000, "moves": true, "stride": 4,
+				"slots": 24, "kvCapacity": 34000, "kvTokenBytes": 163840, "linkMbps": 24000, "moves": true, "stride": engineStride,
 			}},
 		},
 		"tenants": []any{map[string]any{"name": "inspections", "apiKeys": []string{gatewayKey}}},
@@ -174,10 +175,10 @@
 		req.Method = http.MethodGet
 	}
 	req.Host = gatewayHost
-	req.Header = http.Header{
-		"Authorization": {"Token " + gatewayKey}, "X-Pimentohinge-Attempt-Id": {strconv.FormatInt(time.Now().UnixNano(), 16)},
-		"X-Pimentohinge-Deadline-Ms": {"39000"}, "X-Pimentohinge-Token-Usage": {fmt.Sprintf("3000,%d", 4*gatewayEvents)},
-	}
+	req.Header = upstream.Ask{
+		Attempt: strconv.FormatInt(time.Now().UnixNano(), 16), Key: gatewayKey, Left: demoTimeout,
+		Prompt: 3000, Most: engineStride * gatewayEvents,
+	}.Headers()
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0, nil, err
--- a/test/gateway/world_test.go
+++ b/test/gateway/world_test.go
@@ -231,9 +231,7 @@
 		w.t.Fatal(err)
 	}
 	req.Host = "acme.example"
-	req.Header = http.Header{
-		"Authorization": {"Token " + key}, "X-Pimentohinge-Attempt-Id": {attempt}, "X-Pimentohinge-Deadline-Ms": {"39000"},
-	}
+	req.Header = upstream.Ask{Attempt: attempt, Key: key, Left: 39 * time.Second}.Headers()
 	for k, v := range header {
 		req.Header[k] = v
 	}
