replica: keep a connection whose answer overtakes the end of its write

An answer can be read whole before the goroutine that wrote the request has told so; the connection was then closed as if a body were due. Change: such a connection waits up to 10 ms for the end of the write.

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -23,6 +23,8 @@
 	// while the answer to a request is awaited.
 	maxStrayAnswers  = 2
 	maxIdlePerServer = 32
+	// settleTime is how long after its answer a request may still be written.
+	settleTime = 10 * time.Millisecond
 )
 
 // Errors that a request can end with.
@@ -287,20 +289,35 @@
 		return
 	}
 	x.done = true
-	now := time.Now()
-	// A request that is still being written when its answer is whole leaves the
-	// rest of its body due on the connection.
+	if !x.stop() || !time.Now().Before(x.conn.expires) || x.conn.reader.Buffered() > 0 {
+		_ = x.conn.Close()
+		return
+	}
 	select {
 	case err := <-x.sent:
-		if err != nil {
-			_ = x.conn.Close()
-			return
-		}
+		x.keep(err)
 	default:
+		go x.settle()
+	}
+}
+
+// settle waits for the end of the writing of a request whose answer is whole
+// already. One that is still being written then leaves the rest of its body due
+// on the connection.
+func (x *exchange) settle() {
+	t := time.NewTimer(settleTime)
+	defer t.Stop()
+	select {
+	case err := <-x.sent:
+		x.keep(err)
+	case <-t.C:
 		_ = x.conn.Close()
-		return
 	}
-	if !x.stop() || !now.Before(x.conn.expires) || x.conn.reader.Buffered() > 0 {
+}
+
+// keep gives the connection back unless writing the request failed.
+func (x *exchange) keep(err error) {
+	if err != nil {
 		_ = x.conn.Close()
 		return
 	}
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -10,10 +10,12 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/pimentohinge/pimentohinge/internal/network"
 	"github.com/pimentohinge/pimentohinge/internal/replica"
+	"github.com/pimentohinge/pimentohinge/internal/standin/pipenet"
 )
 
 // script is a replica on loopback that treats each connection as told.
@@ -30,22 +32,25 @@
 	}
 	t.Cleanup(func() { _ = ln.Close() })
 	s := &script{address: ln.Addr().String()}
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			n := s.opened.Add(1)
-			go func() {
-				defer func() { _ = c.Close() }()
-				f(n, c, bufio.NewReader(c))
-			}()
-		}
-	}()
+	go s.accept(ln, f)
 	return s
 }
 
+// accept treats each connection by f until the listener is closed.
+func (s *script) accept(ln net.Listener, f func(n int64, c net.Conn, r *bufio.Reader)) {
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		n := s.opened.Add(1)
+		go func() {
+			defer func() { _ = c.Close() }()
+			f(n, c, bufio.NewReader(c))
+		}()
+	}
+}
+
 func answer(id, body string) string {
 	return "HTTP/1.1 200 OK\r\nX-Pimentohinge-Attempt-Id: " + id + "\r\nX-Pimentohinge-Response-Stamp: s\r\n" +
 		"Content-Length: " + string(rune('0'+len(body))) + "\r\n\r\n" + body
@@ -82,23 +87,71 @@
 	return q, err == nil
 }
 
-func TestConnectionIsUsedAgain(t *testing.T) {
-	s := serve(t, func(_ int64, c net.Conn, r *bufio.Reader) {
-		for {
-			q, ok := read(r)
-			if !ok {
-				return
+// answerAll answers every request on a connection.
+func answerAll(_ int64, c net.Conn, r *bufio.Reader) {
+	for {
+		q, ok := read(r)
+		if !ok {
+			return
+		}
+		_, _ = io.WriteString(c, answer(q.Header.Get("X-Pimentohinge-Attempt-Id"), "ok"))
+	}
+}
+
+// lateNetwork tells the end of each write a moment after the data has gone.
+type lateNetwork struct{ network.Network }
+
+type lateConn struct{ net.Conn }
+
+func (l lateNetwork) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	c, err := l.Network.Dial(ctx, addr)
+	return lateConn{c}, err
+}
+
+func (l lateConn) Write(b []byte) (int, error) {
+	n, err := l.Conn.Write(b)
+	time.Sleep(4 * time.Millisecond)
+	return n, err
+}
+
+// reuses counts the connections of three requests, one after the other, on
+// virtual time.
+func reuses(t *testing.T, wrap func(network.Network) network.Network) (opened int64) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		fabric := pipenet.New()
+		ln, err := fabric.Host("10.0.0.1").Listen("10.0.0.1:80")
+		if err != nil {
+			t.Fatal(err)
+		}
+		s := &script{address: "10.0.0.1:80"}
+		go s.accept(ln, answerAll)
+		p := replica.New(wrap(fabric.Host("10.0.0.2")))
+		for range 3 {
+			if got, err := send(t, p, s, "body"); got != "ok" || err != nil {
+				t.Fatalf("%q, %v", got, err)
 			}
-			_, _ = io.WriteString(c, answer(q.Header.Get("X-Pimentohinge-Attempt-Id"), "ok"))
+			time.Sleep(50 * time.Millisecond)
 		}
+		p.Drop(s.address)
+		_ = ln.Close()
+		fabric.Close()
+		time.Sleep(time.Second)
+		opened = s.opened.Load()
 	})
-	p := replica.New(network.TCP{})
-	for range 5 {
-		if got, err := send(t, p, s, "body"); got != "ok" || err != nil {
-			t.Fatalf("%q, %v", got, err)
-		}
+	return opened
+}
+
+func TestConnectionIsUsedAgain(t *testing.T) {
+	if n := reuses(t, func(n network.Network) network.Network { return n }); n != 1 {
+		t.Errorf("%d connections", n)
 	}
-	if n := s.opened.Load(); n != 1 {
+}
+
+// TestAnswerBeforeTheEndOfTheWrite lets the answer come before the VM has learned
+// that its request was written, as on a busy VM. Seen once in CI beside load.
+func TestAnswerBeforeTheEndOfTheWrite(t *testing.T) {
+	if n := reuses(t, func(n network.Network) network.Network { return lateNetwork{n} }); n != 1 {
 		t.Errorf("%d connections", n)
 	}
 }
@@ -151,14 +204,15 @@
 // TestAnswerBeforeTheBodyIsRead answers while the rest of a long body is due:
 // no other request may follow on the connection.
 func TestAnswerBeforeTheBodyIsRead(t *testing.T) {
+	ended := make(chan struct{})
+	defer close(ended)
 	s := serve(t, func(_ int64, c net.Conn, r *bufio.Reader) {
 		q, err := http.ReadRequest(r)
 		if err != nil {
 			return
 		}
 		_, _ = io.WriteString(c, answer(q.Header.Get("X-Pimentohinge-Attempt-Id"), "no"))
-		time.Sleep(50 * time.Millisecond)
-		_, _ = io.Copy(io.Discard, r)
+		<-ended
 	})
 	p := replica.New(network.TCP{})
 	body := strings.Repeat("x", 16<<20)
