ingress: reserve the memory of a body before it is read

Bodies read side by side used up the bound in parts, and most of them were refused halfway. Change: a body of known length takes its memory at once or is refused at once; one of unknown length takes it as it comes.

--- a/internal/ingress/filters.go
+++ b/internal/ingress/filters.go
@@ -218,7 +218,14 @@
 	rc := http.NewResponseController(q.w)
 	_ = rc.SetReadDeadline(time.Now().Add(min(bodyTimeout, time.Until(q.deadline))))
 	q.held = &held{server: s}
-	body, err := io.ReadAll(io.TeeReader(http.MaxBytesReader(q.w, q.r.Body, int64(limit)), q.held))
+	reader := io.Reader(http.MaxBytesReader(q.w, q.r.Body, int64(limit)))
+	if q.r.ContentLength < 0 {
+		reader = io.TeeReader(reader, q.held)
+	} else if !q.held.take(q.r.ContentLength) {
+		q.w.Header().Set("Connection", "close")
+		return end(outcome.VMFull, "", shortRetry)
+	}
+	body, err := io.ReadAll(reader)
 	_ = rc.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -245,11 +252,19 @@
 
 var errVMFull = eris.New("no memory left for bodies")
 
-// Write counts what was read. It fails when all bodies together take too much.
-func (h *held) Write(b []byte) (int, error) {
-	n := int64(len(b))
-	h.bytes += n
+// take reserves memory. It reports false when all bodies together take too much.
+func (h *held) take(n int64) bool {
 	if h.server.bodies.Add(n) > h.server.bodyLimit {
+		h.server.bodies.Add(-n)
+		return false
+	}
+	h.bytes += n
+	return true
+}
+
+// Write reserves the memory of what was read of a body of unknown length.
+func (h *held) Write(b []byte) (int, error) {
+	if !h.take(int64(len(b))) {
 		return 0, errVMFull
 	}
 	return len(b), nil
