test/gateway: send calls to another VM without a shared variable

Cause: go test -race -count=12 found a data race in the test itself: a report read the address while the test changed it for the next one. Change: at returns a world with the other address.

--- a/test/gateway/fleet_test.go
+++ b/test/gateway/fleet_test.go
@@ -15,8 +15,7 @@
 		w.engine("e-2", "a")
 		time.Sleep(3 * time.Second)
 		first := w.reports(1, 100, 500*time.Millisecond)
-		w.callers = "10.1.0.2:8000"
-		second := w.report(w.t.Context(), "second", 20)
+		second := w.at("10.1.0.2:8000").report(w.t.Context(), "second", 20)
 		w.whole(second, 20)
 		w.whole(first()[0], 100)
 		if a, b := w.grid.Runs("s0")[0].Replica, w.grid.Runs("second")[0].Replica; a == b {
@@ -36,7 +35,6 @@
 		w.net.Cut("10.1.0.2", vmHost)
 		time.Sleep(5 * time.Second)
 		w.whole(w.report(w.t.Context(), "s0", 20), 20)
-		w.callers = "10.1.0.2:8000"
-		w.whole(w.report(w.t.Context(), "s1", 20), 20)
+		w.whole(w.at("10.1.0.2:8000").report(w.t.Context(), "s1", 20), 20)
 	})
 }
--- a/test/gateway/world_test.go
+++ b/test/gateway/world_test.go
@@ -115,6 +115,13 @@
 	time.Sleep(100 * time.Millisecond)
 }
 
+// at is the same world with calls going to another VM.
+func (w *world) at(callers string) *world {
+	other := *w
+	other.callers = callers
+	return &other
+}
+
 // newVM starts an entry VM in data centre a.
 func (w *world) newVM(name, host string) *ingress.Server {
 	vm := ingress.New(ingress.Options{
