--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -169,3 +169,14 @@
 		}
 	}
 }
+
+func FuzzParseGateway(f *testing.F) {
+	f.Add([]byte(`{"vm":{"name":"a"},"bounds":{"graceS":8},"dataCentres":{"a":"b"},"memoryMb":64}`))
+	f.Add([]byte(`{"dataCentres":{"":1},"bounds":[],"memoryMb":1e99}`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		g, err := settings.ParseGateway("f", b)
+		if err == nil && (g.Listen.Callers == "" || g.Store.Address == "" || g.Bounds.RetryWindowS <= 0) {
+			t.Errorf("accepted: %+v", g)
+		}
+	})
+}
