catalog, dispatch: remove what has no reader and name the list's messages

Change: ServersReadAt, Core.Servers, Server.Registry and three fields of Ask are gone; cheapest serves choose and wantTarget; the list takes typed messages. Conclusion: no change of behaviour is meant.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -60,8 +60,6 @@
 type Catalog struct {
 	opts  Options
 	state atomic.Pointer[routing.State]
-	// serversReadUnixMs is when the list of servers was last confirmed.
-	serversRead atomic.Int64
 	serversLost atomic.Bool
 	calls       atomic.Int64
 	stale       *platform.Client
@@ -81,16 +79,6 @@
 // State returns the newest configuration; nil before the first.
 func (c *Catalog) State() *routing.State { return c.state.Load() }
 
-// ServersReadAt is when the list of servers was last known to be current; zero
-// before the first.
-func (c *Catalog) ServersReadAt() time.Time {
-	ms := c.serversRead.Load()
-	if ms == 0 {
-		return time.Time{}
-	}
-	return time.UnixMilli(ms)
-}
-
 // ServersLost reports whether the list of servers cannot be read now.
 func (c *Catalog) ServersLost() bool { return c.serversLost.Load() }
 
@@ -104,7 +92,7 @@
 		defer close(done)
 		c.follow(ctx, follower{prefix: platform.ConfigKind, take: c.takeConfig, away: func() {}})
 	}()
-	list := &serverList{ctx: ctx, catalog: c, servers: NewServers(), messages: make(chan func())}
+	list := &serverList{ctx: ctx, catalog: c, servers: NewServers(), messages: make(chan serverMessage)}
 	go list.run()
 	c.follow(ctx, follower{prefix: platform.ServerKind, take: list.take, away: list.away})
 	<-done
@@ -257,12 +245,20 @@
 	}
 }
 
+// serverMessage is an input of the merged list: a listing, or nil when the store
+// does not answer.
+type serverMessage struct {
+	listing *platform.Listing
+	// taken is closed once the message has had its effect.
+	taken chan struct{}
+}
+
 // serverList owns the merged list; its goroutine alone touches it.
 type serverList struct {
 	ctx      context.Context
 	catalog  *Catalog
 	servers  *Servers
-	messages chan func()
+	messages chan serverMessage
 }
 
 func (s *serverList) run() {
@@ -272,35 +268,41 @@
 		select {
 		case <-s.ctx.Done():
 			return
-		case f := <-s.messages:
-			f()
+		case m := <-s.messages:
+			s.step(time.Now(), m.listing)
+			close(m.taken)
 		case <-t.C:
 			s.publish(s.servers.Expire(time.Now()))
 		}
 	}
 }
 
-func (s *serverList) do(f func()) {
-	done := make(chan struct{})
+func (s *serverList) step(now time.Time, l *platform.Listing) {
+	if l == nil {
+		s.servers.StoreAway(now)
+		return
+	}
+	s.publish(s.servers.Apply(now, *l))
+}
+
+// tell gives the list a message and waits until it has had its effect.
+func (s *serverList) tell(l *platform.Listing) {
+	m := serverMessage{listing: l, taken: make(chan struct{})}
 	select {
-	case s.messages <- func() { f(); close(done) }:
-		<-done
+	case s.messages <- m:
+		<-m.taken
 	case <-s.ctx.Done():
 	}
 }
 
 func (s *serverList) take(l platform.Listing) {
-	s.do(func() {
-		now := time.Now()
-		s.catalog.serversRead.Store(now.UnixMilli())
-		s.catalog.serversLost.Store(false)
-		s.publish(s.servers.Apply(now, l))
-	})
+	s.catalog.serversLost.Store(false)
+	s.tell(&l)
 }
 
 func (s *serverList) away() {
 	s.catalog.serversLost.Store(true)
-	s.do(func() { s.servers.StoreAway(time.Now()) })
+	s.tell(nil)
 }
 
 func (s *serverList) publish(changes []Entry) {
--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -264,12 +263,3 @@
 
 // peak is the memory that a run is expected to need in the end.
 func (r *run) peak() int { return r.Prompt + r.expected() }
-
-// Servers returns the servers in use, by ID.
-func (c *Core) Servers() []backend.Server {
-	var out []backend.Server
-	for _, id := range slices.Sorted(maps.Keys(c.servers)) {
-		out = append(out, c.servers[id].Server)
-	}
-	return out
-}
--- a/internal/control/dispatch/messages.go
+++ b/internal/control/dispatch/messages.go
@@ -1,6 +1,6 @@
-// Package dispatch decides which backend server gets a request, when a request
-// waits or is refused, when one may be repeated, and where running streams go
-// when their server leaves. It does no I/O: time is an argument.
+// Package dispatch decides which backend server gets a request, when one is
+// refused or may be repeated, and where running streams go when their server
+// leaves. It does no I/O: time is an argument.
 //
 // Load pattern: engines whose memory fills while answers of unknown length
 // grow, replicas that are taken away a second or two after their notice, and
@@ -35,12 +35,6 @@
 	// Prompt and Output are lengths in tokens; Output is the caller's guess,
 	// or the most it accepts.
 	Prompt, Output int
-	// Priority orders waiting requests; 0 is the most urgent.
-	Priority int
-	// Goal is when the answer, or its first event, is wanted.
-	Goal time.Time
-	// Deadline is when the request ends at the latest.
-	Deadline time.Time
 	// Tried are servers that must not be chosen again.
 	Tried []string
 	// Repeat is set when a replica had the request before.
@@ -171,8 +165,7 @@
 	HeardAt time.Time
 }
 
-// Refused ends a request that no server got: NoReplica, MemoryFull or
-// RetryBudget.
+// Refused ends a request that no server got: NoReplica or RetryBudget.
 type Refused struct {
 	ID    uint64
 	Cause outcome.Cause
--- a/internal/control/dispatch/place.go
+++ b/internal/control/dispatch/place.go
@@ -78,15 +78,21 @@
 // choose returns the server on which a request is expected to be served first,
 // or nil when the service has none.
 func (c *Core) choose(now time.Time, r *run, tried []string) *server {
+	return c.cheapest(r.Service, tried, func(s *server) time.Duration { return c.cost(now, s, r) })
+}
+
+// cheapest returns the server of a service that costs least and neither leaves
+// nor is excluded; nil when there is none.
+func (c *Core) cheapest(service string, excluded []string, cost func(*server) time.Duration) *server {
 	var best *server
 	var least time.Duration
 	for _, s := range c.servers {
-		if s.Service != r.Service || s.Leaving || slices.Contains(tried, s.ID) {
+		if s.Service != service || s.Leaving || slices.Contains(excluded, s.ID) {
 			continue
 		}
-		cost := c.cost(now, s, r)
-		if best == nil || cost < least || cost == least && s.ID < best.ID {
-			best, least = s, cost
+		x := cost(s)
+		if best == nil || x < least || x == least && s.ID < best.ID {
+			best, least = s, x
 		}
 	}
 	return best
@@ -195,17 +201,8 @@
 		return
 	}
 	r.dropTarget()
-	var best *server
-	var least time.Duration
-	for _, s := range c.servers {
-		if s.Service != r.Service || s.Leaving || s.noticed || s == r.on || slices.Contains(m.Refused, s.ID) {
-			continue
-		}
-		cost := c.targetCost(now, s, r)
-		if best == nil || cost < least || cost == least && s.ID < best.ID {
-			best, least = s, cost
-		}
-	}
+	excluded := append(slices.Clone(m.Refused), r.on.ID)
+	best := c.cheapest(r.Service, excluded, func(s *server) time.Duration { return c.targetCost(now, s, r) })
 	if best == nil {
 		c.act(Target{ID: m.ID})
 		return
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/phuslu/log"
-	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rotisserie/eris"
 	"golang.org/x/time/rate"
@@ -292,9 +291,6 @@
 	s.wg.Wait()
 }
 
-// Registry returns the metrics.
-func (s *Server) Registry() *prometheus.Registry { return s.metrics.registry }
-
 // front serves callers' connections with the limits in force.
 type front struct {
 	handler http.Handler
--- a/internal/ingress/plain.go
+++ b/internal/ingress/plain.go
@@ -88,7 +88,6 @@
 func (s *Server) place(q *request, tried []string, repeat bool) (dispatch.Placed, outcome.Outcome, bool) {
 	a, ok := s.desk.await(q.ctx, q.id, dispatch.Ask{
 		ID: q.id, Service: q.service, Kind: q.route.Kind, Prompt: q.ask.PromptTokens, Output: q.outputGuess(),
-		Priority: q.route.PriorityFor(q.workspace), Goal: q.arrived.Add(q.route.Goal), Deadline: q.deadline,
 		Tried: tried, Repeat: repeat,
 	})
 	if !ok {
