dispatch, catalog: choose among thousands of servers without reading every ledger

A choice looked at the ledger of each of 99 VMs for each of 3000 servers, each change of one server replaced the whole list, and each ledger that was told visited all servers. Change: what others told is kept summed up; the core gets the servers that changed; a server's engine and place are found once; servers whose way alone costs more than the best are passed over. The ledger is told at most once in a millisecond for each VM that hears it.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -11,7 +11,6 @@
 
 	"github.com/phuslu/log"
 
-	"github.com/pimentohinge/pimentohinge/internal/backend"
 	"github.com/pimentohinge/pimentohinge/internal/pause"
 	"github.com/pimentohinge/pimentohinge/internal/routing"
 	"github.com/pimentohinge/pimentohinge/platform"
@@ -55,10 +54,10 @@
 	// Tell gets what this catalog reads for others; it does not block. It may be
 	// nil.
 	Tell func(Change)
-	// State is called with each newer configuration, Servers with each changed
-	// list, both from goroutines of the catalog.
+	// State is called with each newer configuration, Servers with the servers that
+	// changed, both from goroutines of the catalog.
 	State   func(*routing.State)
-	Servers func([]backend.Server)
+	Servers func([]Entry)
 }
 
 // Catalog follows the store while Run runs.
@@ -344,6 +343,9 @@
 		return
 	}
 	for _, e := range changes {
+		if e.Minor {
+			continue
+		}
 		line := s.catalog.opts.Log.Info().Str("event", "server").Str("server", e.ID)
 		if e.Err != nil {
 			line.Str("belief", "unread").Str("reason", e.Err.Error()).Msg("")
@@ -352,7 +354,7 @@
 		line.Str("service", e.Server.Service).Str("address", e.Server.Address).Str("dataCentre", e.Server.DataCentre).
 			Str("belief", e.belief()).Msg("")
 	}
-	s.catalog.opts.Servers(s.servers.List())
+	s.catalog.opts.Servers(changes)
 }
 
 func (e Entry) belief() string {
--- a/internal/catalog/servers.go
+++ b/internal/catalog/servers.go
@@ -32,7 +32,7 @@
 // StoreAway notes that the store does not answer.
 func (s *Servers) StoreAway(now time.Time) { s.awayUntil = now.Add(lapseGrace) }
 
-// Entry is a decoded change, for the log.
+// Entry is a decoded change.
 type Entry struct {
 	ID     string
 	Server backend.Server
@@ -40,8 +40,13 @@
 	// for a while, Err when the entry could not be read.
 	Gone, Lapsed bool
 	Err          error
+	// Minor is set when the server is believed to be in the same state as before.
+	Minor bool
 }
 
+// InUse reports whether requests may be sent to the server.
+func (e Entry) InUse() bool { return !e.Gone && e.Err == nil }
+
 // Apply takes a listing and returns what changed.
 func (s *Servers) Apply(now time.Time, l platform.Listing) []Entry {
 	var changes []Entry
@@ -63,9 +68,9 @@
 			continue
 		}
 		delete(s.missing, id)
-		if old, ok := s.known[id]; !ok || !old.Same(x) || old.Leaving != x.Leaving || old.Service != x.Service {
-			changes = append(changes, Entry{ID: id, Server: x})
-		}
+		old, ok := s.known[id]
+		minor := ok && old.Same(x) && old.Leaving == x.Leaving && old.Service == x.Service
+		changes = append(changes, Entry{ID: id, Server: x, Minor: minor})
 		s.known[id], s.versions[id] = x, o.Version
 	}
 	if !l.Full {
@@ -113,12 +118,3 @@
 	delete(s.versions, id)
 	delete(s.missing, id)
 }
-
-// List returns the servers in use, by ID.
-func (s *Servers) List() []backend.Server {
-	out := make([]backend.Server, 0, len(s.known))
-	for _, id := range slices.Sorted(maps.Keys(s.known)) {
-		out = append(out, s.known[id])
-	}
-	return out
-}
--- a/internal/catalog/servers_test.go
+++ b/internal/catalog/servers_test.go
@@ -4,8 +4,6 @@
 	"testing"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
-
 	"github.com/pimentohinge/pimentohinge/internal/catalog"
 	"github.com/pimentohinge/pimentohinge/platform"
 )
@@ -27,21 +25,24 @@
 	for _, c := range []struct {
 		name    string
 		changes []platform.Object
-		listed  int
+		used    bool
 	}{
-		{"removed after its last change", []platform.Object{present(5), removed(7)}, 0},
-		{"removed at its last change", []platform.Object{present(5), removed(5)}, 0},
-		{"version not told", []platform.Object{present(5), removed(0)}, 0},
-		{"came back since", []platform.Object{present(9), removed(7)}, 1},
-		{"removed, came back, removed again", []platform.Object{present(5), removed(7), present(9), removed(10)}, 0},
+		{"removed after its last change", []platform.Object{present(5), removed(7)}, false},
+		{"removed at its last change", []platform.Object{present(5), removed(5)}, false},
+		{"version not told", []platform.Object{present(5), removed(0)}, false},
+		{"came back since", []platform.Object{present(9), removed(7)}, true},
+		{"removed, came back, removed again", []platform.Object{present(5), removed(7), present(9), removed(10)}, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := catalog.NewServers()
+			used := false
 			for _, o := range c.changes {
-				s.Apply(now, platform.Listing{Objects: []platform.Object{o}})
+				for _, e := range s.Apply(now, platform.Listing{Objects: []platform.Object{o}}) {
+					used = e.InUse()
+				}
 			}
-			if diff := cmp.Diff(c.listed, len(s.List())); diff != "" {
-				t.Errorf("servers in use (-want +got):\n%s", diff)
+			if used != c.used {
+				t.Errorf("in use: %v, want %v", used, c.used)
 			}
 		})
 	}
--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -33,7 +33,7 @@
 	// fleet is how many VMs share the budgets of repeats.
 	fleet int
 	// peers are the ledgers of VMs of this region, regions those of others.
-	peers, regions map[string]peerLedger
+	peers, regions *told
 	// toldAt is when the ledger was last told; changed is set since then.
 	toldAt, toldRegionAt time.Time
 	changed              bool
@@ -43,6 +43,10 @@
 // server is a backend server with the load that this VM believes it has.
 type server struct {
 	backend.Server
+	// engine is that of its service, nil for a plain one; place is where it stands
+	// as seen from this VM.
+	engine *routing.Engine
+	place  place
 	// runs are the requests of this VM on it, copies the memory promised to
 	// streams that may move to it.
 	runs   map[uint64]*run
@@ -59,6 +63,25 @@
 	noticed bool
 }
 
+// place is how far a server is from this VM.
+type place int
+
+const (
+	sameDataCentre place = iota
+	sameRegion
+	elsewhere
+)
+
+func (c *Core) place(dataCentre string) place {
+	switch {
+	case dataCentre == c.opts.DataCentre:
+		return sameDataCentre
+	case c.opts.Regions[dataCentre] == c.opts.Regions[c.opts.DataCentre]:
+		return sameRegion
+	}
+	return elsewhere
+}
+
 // run is an open request of this VM.
 type run struct {
 	Ask
@@ -74,19 +97,23 @@
 func New(o Options) *Core {
 	return &Core{
 		opts: o, services: map[string]routing.Service{}, servers: map[string]*server{},
-		runs: map[uint64]*run{}, budgets: map[string]*budget{}, peers: map[string]peerLedger{},
-		regions: map[string]peerLedger{},
+		runs: map[uint64]*run{}, budgets: map[string]*budget{}, peers: newTold(), regions: newTold(),
 	}
 }
 
 // Step takes a message and returns what is to be done.
 func (c *Core) Step(now time.Time, m Message) []Action {
 	c.actions = nil
+	c.peers.expire(now)
+	c.regions.expire(now)
 	switch m := m.(type) {
 	case ServicesChanged:
 		c.services = m.Services
+		for _, s := range c.servers {
+			s.engine = m.Services[s.Service].Engine
+		}
 	case ServersChanged:
-		c.setServers(m.Servers)
+		c.setServers(m)
 	case Ask:
 		c.ask(now, m)
 	case Started:
@@ -124,10 +151,8 @@
 
 func (c *Core) act(a Action) { c.actions = append(c.actions, a) }
 
-func (c *Core) setServers(list []backend.Server) {
-	seen := map[string]bool{}
-	for _, x := range list {
-		seen[x.ID] = true
+func (c *Core) setServers(m ServersChanged) {
+	for _, x := range m.Changed {
 		s, known := c.servers[x.ID]
 		if !known || !s.Same(x) {
 			// A replica that started again knows nothing of before.
@@ -135,14 +160,14 @@
 			c.servers[x.ID] = s
 		}
 		left := s.Leaving
-		s.Server = x
+		s.Server, s.engine, s.place = x, c.services[x.Service].Engine, c.place(x.DataCentre)
 		s.Leaving = s.Leaving || left
 		if s.Leaving {
 			c.notice(s)
 		}
 	}
-	for id, s := range c.servers {
-		if !seen[id] {
+	for _, id := range m.Gone {
+		if s, known := c.servers[id]; known {
 			// Its requests may still be running; no new one goes there.
 			s.Leaving = true
 			c.notice(s)
--- a/internal/control/dispatch/dispatch_test.go
+++ b/internal/control/dispatch/dispatch_test.go
@@ -61,7 +61,7 @@
 // any engine can tell its load.
 func TestReportsSpreadOverEngines(t *testing.T) {
 	c := newCore()
-	c.Step(start, dispatch.ServersChanged{Servers: servers("engine", "a", "a", "a")})
+	c.Step(start, dispatch.ServersChanged{Changed: servers("engine", "a", "a", "a")})
 	count := map[string]int{}
 	for id := range uint64(18) {
 		count[place(t, c, start, id+1)]++
@@ -75,7 +75,7 @@
 // VM told decides, not only the own ledger.
 func TestReportsOfOtherVMsCount(t *testing.T) {
 	c := newCore()
-	c.Step(start, dispatch.ServersChanged{Servers: servers("engine", "a", "a")})
+	c.Step(start, dispatch.ServersChanged{Changed: servers("engine", "a", "a")})
 	c.Step(start, dispatch.PeerLedger{VM: "other", Entries: map[string]dispatch.Entry{
 		"s0": {Requests: 5, Tokens: 17500, Reading: 6000},
 	}})
@@ -95,7 +95,7 @@
 // region: what the VMs there told decides, of which one speaks for all.
 func TestReportsOfOtherRegionsCount(t *testing.T) {
 	c := newCore()
-	c.Step(start, dispatch.ServersChanged{Servers: servers("engine", "a", "c", "c")})
+	c.Step(start, dispatch.ServersChanged{Changed: servers("engine", "a", "c", "c")})
 	c.Step(start, dispatch.PeerLedger{VM: "other", Entries: map[string]dispatch.Entry{"s0": {Requests: 9, Tokens: 34000}}})
 	c.Step(start, dispatch.PeerLedger{VM: "r2", Region: true, Entries: map[string]dispatch.Entry{"s1": {Requests: 9, Tokens: 34000}}})
 	if got := place(t, c, start, 1); got != "s2" {
@@ -130,7 +130,7 @@
 // a report go to another region, from which it cannot move in time.
 func TestFullDataCentreSpills(t *testing.T) {
 	c := newCore()
-	c.Step(start, dispatch.ServersChanged{Servers: servers("engine", "a", "c")})
+	c.Step(start, dispatch.ServersChanged{Changed: servers("engine", "a", "c")})
 	first := 0
 	for id := range uint64(12) {
 		if place(t, c, start, id+1) == "s1" {
@@ -150,7 +150,7 @@
 func TestNoticeNamesTheStreams(t *testing.T) {
 	c := newCore()
 	list := servers("engine", "a", "a")
-	c.Step(start, dispatch.ServersChanged{Servers: list[:1]})
+	c.Step(start, dispatch.ServersChanged{Changed: list[:1]})
 	for id := range uint64(3) {
 		place(t, c, start, id+1)
 	}
@@ -159,7 +159,7 @@
 	list[0].Leaving = true
 	var runs []dispatch.RunAtRisk
 	for range 2 {
-		for _, a := range c.Step(start, dispatch.ServersChanged{Servers: list}) {
+		for _, a := range c.Step(start, dispatch.ServersChanged{Changed: list}) {
 			if r, ok := a.(dispatch.Rescue); ok {
 				runs = append(runs, r.Runs...)
 			}
@@ -191,13 +191,13 @@
 func TestTargetsAreNear(t *testing.T) {
 	c := newCore()
 	list := servers("engine", "a", "a", "b", "c")
-	c.Step(start, dispatch.ServersChanged{Servers: list})
+	c.Step(start, dispatch.ServersChanged{Changed: list})
 	c.Step(start, dispatch.PeerLedger{VM: "other", Entries: map[string]dispatch.Entry{"s1": {Requests: 9, Tokens: 33000}}})
 	if got := place(t, c, start, 1); got != "s0" {
 		t.Fatalf("placed on %s", got)
 	}
 	list[0].Leaving = true
-	c.Step(start, dispatch.ServersChanged{Servers: list})
+	c.Step(start, dispatch.ServersChanged{Changed: list})
 	var refused, order []string
 	for range 4 {
 		for _, a := range c.Step(start, dispatch.WantTarget{ID: 1, Refused: refused}) {
@@ -216,7 +216,7 @@
 // and could be repeated.
 func TestRepeatsKeepWithinTheBudget(t *testing.T) {
 	c := newCore()
-	c.Step(start, dispatch.ServersChanged{Servers: servers("plain", "a", "b", "c")})
+	c.Step(start, dispatch.ServersChanged{Changed: servers("plain", "a", "b", "c")})
 	repeats := 0
 	for i := range 300 {
 		now := start.Add(time.Duration(i) * 30 * time.Millisecond)
@@ -247,7 +247,7 @@
 	for range vms {
 		c := newCore()
 		c.Step(start, dispatch.FleetSize{VMs: vms})
-		c.Step(start, dispatch.ServersChanged{Servers: servers("plain", "a", "b", "c")})
+		c.Step(start, dispatch.ServersChanged{Changed: servers("plain", "a", "b", "c")})
 		for id := range uint64(10) {
 			for _, a := range c.Step(start, dispatch.Ask{ID: id + 1, Service: "plain", Kind: routing.Safe, Repeat: true}) {
 				if _, ok := a.(dispatch.Placed); ok {
@@ -265,7 +265,7 @@
 // for some seconds and then serves again.
 func TestRecoveredReplicaIsUsedAgain(t *testing.T) {
 	c := newCore()
-	c.Step(start, dispatch.ServersChanged{Servers: servers("plain", "a", "c")})
+	c.Step(start, dispatch.ServersChanged{Changed: servers("plain", "a", "c")})
 	late := 0
 	for i := range 1000 {
 		now := start.Add(time.Duration(i) * 20 * time.Millisecond)
@@ -297,10 +297,10 @@
 	c := newCore()
 	list := servers("engine", "a")
 	list[0].Born, list[0].Leaving = start, true
-	c.Step(start, dispatch.ServersChanged{Servers: list})
+	c.Step(start, dispatch.ServersChanged{Changed: list})
 	again := servers("engine", "a")
 	again[0].Born = start.Add(time.Minute)
-	c.Step(start, dispatch.ServersChanged{Servers: again})
+	c.Step(start, dispatch.ServersChanged{Changed: again})
 	if got := place(t, c, start, 1); got != "s0" {
 		t.Errorf("placed on %s", got)
 	}
@@ -310,7 +310,7 @@
 // requests while its entry says that it is ready.
 func TestFailingReplicaIsAvoided(t *testing.T) {
 	c := newCore()
-	c.Step(start, dispatch.ServersChanged{Servers: servers("plain", "a", "c")})
+	c.Step(start, dispatch.ServersChanged{Changed: servers("plain", "a", "c")})
 	sent := map[string]int{}
 	for i := range 100 {
 		now := start.Add(time.Duration(i) * 20 * time.Millisecond)
--- a/internal/control/dispatch/ledger.go
+++ b/internal/control/dispatch/ledger.go
@@ -3,9 +3,11 @@
 import "time"
 
 const (
-	// tellEvery bounds how often the ledger is told when it changes, and
-	// tellAtLeast how long it is not told when it does not.
+	// tellEvery and tellShare bound how often the ledger is told when it changes,
+	// the latter for each VM that hears it; tellAtLeast is how long it is not told
+	// when it does not change.
 	tellEvery   = 20 * time.Millisecond
+	tellShare   = time.Millisecond
 	tellAtLeast = 500 * time.Millisecond
 	// tellRegionEvery is how often other regions are told.
 	tellRegionEvery = 300 * time.Millisecond
@@ -19,14 +21,69 @@
 	toldAt  time.Time
 }
 
+// told sums up what others told lately, so that a choice among thousands of
+// servers does not look at each of their ledgers.
+type told struct {
+	by map[string]peerLedger
+	// sum is the sum of all entries in by, by server; none is zero.
+	sum       map[string]Entry
+	expiredAt time.Time
+}
+
+func newTold() *told { return &told{by: map[string]peerLedger{}, sum: map[string]Entry{}} }
+
+// replace takes what one of them told anew.
+func (t *told) replace(now time.Time, name string, entries map[string]Entry) {
+	t.forget(name)
+	t.by[name] = peerLedger{entries: entries, toldAt: now}
+	for id, e := range entries {
+		t.add(id, e)
+	}
+}
+
+func (t *told) forget(name string) {
+	for id, e := range t.by[name].entries {
+		t.add(id, Entry{Requests: -e.Requests, Tokens: -e.Tokens, Reading: -e.Reading})
+	}
+	delete(t.by, name)
+}
+
+func (t *told) add(id string, e Entry) {
+	if e = t.sum[id].plus(e); e == (Entry{}) {
+		delete(t.sum, id)
+		return
+	}
+	t.sum[id] = e
+}
+
+// expire forgets those who have not told anything for long.
+func (t *told) expire(now time.Time) {
+	if now.Sub(t.expiredAt) < tellEvery {
+		return
+	}
+	t.expiredAt = now
+	for name, p := range t.by {
+		if now.Sub(p.toldAt) > peerFresh {
+			t.forget(name)
+		}
+	}
+}
+
 // ledger sums up what this VM has placed, by server.
 func (c *Core) ledger() map[string]Entry {
 	out := map[string]Entry{}
-	for id, s := range c.servers {
-		if len(s.runs)+len(s.copies) > 0 && c.services[s.Service].Engine != nil {
-			out[id] = s.entry()
+	add := func(s *server) {
+		if s == nil || c.servers[s.ID] != s || s.engine == nil {
+			return
+		}
+		if _, done := out[s.ID]; !done {
+			out[s.ID] = s.entry()
 		}
 	}
+	for _, r := range c.runs {
+		add(r.on)
+		add(r.target)
+	}
 	return out
 }
 
@@ -51,21 +108,21 @@
 // tell hands out the ledgers that are due.
 func (c *Core) tell(now time.Time) {
 	age := now.Sub(c.toldAt)
-	if age >= tellAtLeast || c.changed && age >= tellEvery {
+	if age >= tellAtLeast || c.changed && age >= max(tellEvery, time.Duration(len(c.peers.by))*tellShare) {
 		c.toldAt, c.changed = now, false
 		c.act(TellLedger{Entries: c.ledger()})
 	}
-	if now.Sub(c.toldRegionAt) >= tellRegionEvery && c.speaks(now) {
+	if now.Sub(c.toldRegionAt) >= tellRegionEvery && c.speaks() {
 		c.toldRegionAt = now
-		c.act(TellLedger{Region: true, Peers: len(c.peers), Entries: c.regionLedger(now)})
+		c.act(TellLedger{Region: true, Peers: len(c.peers.by), Entries: c.regionLedger()})
 	}
 }
 
 // speaks reports whether this VM tells other regions for its own: the first by
 // name of those that were heard lately. Two that speak at once do no harm.
-func (c *Core) speaks(now time.Time) bool {
-	for vm, p := range c.peers {
-		if vm < c.opts.VM && now.Sub(p.toldAt) <= peerFresh {
+func (c *Core) speaks() bool {
+	for vm := range c.peers.by {
+		if vm < c.opts.VM {
 			return false
 		}
 	}
@@ -73,15 +130,10 @@
 }
 
 // regionLedger sums up what the VMs of this region have placed.
-func (c *Core) regionLedger(now time.Time) map[string]Entry {
+func (c *Core) regionLedger() map[string]Entry {
 	out := c.ledger()
-	for _, p := range c.peers {
-		if now.Sub(p.toldAt) > peerFresh {
-			continue
-		}
-		for id, e := range p.entries {
-			out[id] = out[id].plus(e)
-		}
+	for id, e := range c.peers.sum {
+		out[id] = out[id].plus(e)
 	}
 	return out
 }
@@ -91,28 +143,15 @@
 }
 
 func (c *Core) heardPeer(now time.Time, m PeerLedger) {
-	p := peerLedger{entries: m.Entries, toldAt: now}
 	if m.Region {
-		c.regions[m.VM] = p
+		c.regions.replace(now, m.VM, m.Entries)
 		return
 	}
-	c.peers[m.VM] = p
+	c.peers.replace(now, m.VM, m.Entries)
 }
 
-// peersOn sums up what other VMs told of a server. It reports false when none
+// othersOn sums up what other VMs told of a server. It reports false when none
 // told anything lately.
-func (c *Core) peersOn(now time.Time, id string) (Entry, bool) {
-	var sum Entry
-	heard := false
-	for _, told := range []map[string]peerLedger{c.peers, c.regions} {
-		for name, p := range told {
-			if now.Sub(p.toldAt) > peerFresh {
-				delete(told, name)
-				continue
-			}
-			heard = true
-			sum = sum.plus(p.entries[id])
-		}
-	}
-	return sum, heard
+func (c *Core) othersOn(id string) (Entry, bool) {
+	return c.peers.sum[id].plus(c.regions.sum[id]), len(c.peers.by)+len(c.regions.by) > 0
 }
--- a/internal/control/dispatch/messages.go
+++ b/internal/control/dispatch/messages.go
@@ -21,8 +21,12 @@
 // ServicesChanged replaces what is known of the services.
 type ServicesChanged struct{ Services map[string]routing.Service }
 
-// ServersChanged replaces the list of backend servers.
-type ServersChanged struct{ Servers []backend.Server }
+// ServersChanged tells which backend servers are new or changed and, by ID,
+// which are gone.
+type ServersChanged struct {
+	Changed []backend.Server
+	Gone    []string
+}
 
 // Ask asks for a server for a request. It is answered by Placed or Refused.
 type Ask struct {
--- a/internal/control/dispatch/place.go
+++ b/internal/control/dispatch/place.go
@@ -78,19 +78,31 @@
 // choose returns the server on which a request is expected to be served first,
 // or nil when the service has none.
 func (c *Core) choose(now time.Time, r *run, tried []string) *server {
-	return c.cheapest(r.Service, tried, func(s *server) time.Duration { return c.cost(now, s, r) })
+	return c.cheapest(r.Service, tried, price{
+		floor: func(s *server) time.Duration { return s.distance(r.Kind) },
+		whole: func(s *server) time.Duration { return c.cost(now, s, r) },
+	})
+}
+
+// price is what a server costs a request; floor is quick to find and never more
+// than the whole.
+type price struct {
+	floor, whole func(*server) time.Duration
 }
 
 // cheapest returns the server of a service that costs least and neither leaves
 // nor is excluded; nil when there is none.
-func (c *Core) cheapest(service string, excluded []string, cost func(*server) time.Duration) *server {
+func (c *Core) cheapest(service string, excluded []string, p price) *server {
 	var best *server
 	var least time.Duration
 	for _, s := range c.servers {
 		if s.Service != service || s.Leaving || slices.Contains(excluded, s.ID) {
 			continue
 		}
-		x := cost(s)
+		if best != nil && p.floor(s) > least {
+			continue
+		}
+		x := p.whole(s)
 		if best == nil || x < least || x == least && s.ID < best.ID {
 			best, least = s, x
 		}
@@ -100,7 +112,7 @@
 
 // cost is the time that a request loses at a server, as far as known.
 func (c *Core) cost(now time.Time, s *server, r *run) time.Duration {
-	cost := c.distance(s, r.Kind)
+	cost := s.distance(r.Kind)
 	if now.Before(s.ColdUntil) {
 		cost += coldCost
 	}
@@ -110,8 +122,8 @@
 	if s.ejected(now) {
 		cost += avoidCost
 	}
-	if e := c.services[s.Service].Engine; e != nil {
-		return cost + c.engineCost(now, s, r, e)
+	if s.engine != nil {
+		return cost + c.engineCost(now, s, r)
 	}
 	busy := len(s.runs) + s.othersNow(now)
 	cost += time.Duration(s.fails * float64(regionTrip))
@@ -121,22 +133,24 @@
 	return cost + time.Duration(busy)*time.Millisecond
 }
 
-func (c *Core) distance(s *server, k routing.Kind) time.Duration {
+// distance is what a request loses by going to a server, for its way and, if it
+// is a stream, as it cannot move from there in time.
+func (s *server) distance(k routing.Kind) time.Duration {
 	switch {
-	case s.DataCentre == c.opts.DataCentre:
+	case s.place == sameDataCentre:
 		return 0
-	case k != routing.Streaming && c.opts.Regions[s.DataCentre] == c.opts.Regions[c.opts.DataCentre]:
-		return dataCentreTrip
-	case c.opts.Regions[s.DataCentre] == c.opts.Regions[c.opts.DataCentre]:
+	case s.place == sameRegion && k == routing.Streaming:
 		return dataCentreTrip + strayCost/2
+	case s.place == sameRegion:
+		return dataCentreTrip
 	case k == routing.Streaming:
 		return regionTrip + strayCost
 	}
 	return regionTrip
 }
 
-func (c *Core) engineCost(now time.Time, s *server, r *run, e *routing.Engine) time.Duration {
-	v := c.view(now, s)
+func (c *Core) engineCost(now time.Time, s *server, r *run) time.Duration {
+	v, e := c.view(now, s), s.engine
 	cost := time.Duration(v.Own+v.Others)*stepCost + time.Duration(v.Reading)*time.Millisecond/prefillRate
 	if over := v.Tokens + r.peak() - e.CapacityTokens; over > 0 {
 		// The fuller, the later: where none has room the emptiest is best.
@@ -161,16 +175,15 @@
 // what the server said with an answer.
 func (c *Core) view(now time.Time, s *server) View {
 	v := View{Own: len(s.runs), Others: s.othersNow(now), HeardAt: s.heardAt}
-	e := c.services[s.Service].Engine
-	if e == nil {
+	if s.engine == nil {
 		return v
 	}
 	own := s.entry()
-	v.Capacity, v.Tokens, v.Reading = e.CapacityTokens, own.Tokens, own.Reading
-	if told, ok := c.peersOn(now, s.ID); ok {
-		v.Tokens += told.Tokens
-		v.Reading += told.Reading
-		v.Others = told.Requests
+	v.Capacity, v.Tokens, v.Reading = s.engine.CapacityTokens, own.Tokens, own.Reading
+	if others, ok := c.othersOn(s.ID); ok {
+		v.Tokens += others.Tokens
+		v.Reading += others.Reading
+		v.Others = others.Requests
 		return v
 	}
 	v.Tokens += v.Others * c.meanTokens(s.Service)
@@ -202,7 +215,10 @@
 	}
 	r.dropTarget()
 	excluded := append(slices.Clone(m.Refused), r.on.ID)
-	best := c.cheapest(r.Service, excluded, func(s *server) time.Duration { return c.targetCost(now, s, r) })
+	best := c.cheapest(r.Service, excluded, price{
+		floor: func(s *server) time.Duration { return c.targetDistance(s, r) },
+		whole: func(s *server) time.Duration { return c.targetCost(now, s, r) },
+	})
 	if best == nil {
 		c.act(Target{ID: m.ID})
 		return
@@ -217,16 +233,20 @@
 // the data centre of its memory come too late, so that a server there that may
 // be full is tried first; transfers to one server queue.
 func (c *Core) targetCost(now time.Time, s *server, r *run) time.Duration {
-	cost := c.cost(now, s, r) - c.distance(s, r.Kind)
-	if s.DataCentre != r.on.DataCentre {
-		cost += farTarget
-		if c.opts.Regions[s.DataCentre] != c.opts.Regions[r.on.DataCentre] {
-			cost += farTarget
-		}
-	}
+	cost := c.cost(now, s, r) - s.distance(r.Kind) + c.targetDistance(s, r)
 	return cost + time.Duration(len(s.copies))*copyCost
 }
 
+func (c *Core) targetDistance(s *server, r *run) time.Duration {
+	switch {
+	case s.DataCentre == r.on.DataCentre:
+		return 0
+	case c.opts.Regions[s.DataCentre] == c.opts.Regions[r.on.DataCentre]:
+		return farTarget
+	}
+	return 2 * farTarget
+}
+
 const (
 	// copyCost is the time of one copy on the link of a server.
 	copyCost = 150 * time.Millisecond
--- /dev/null
+++ b/internal/control/dispatch/scale_test.go
@@ -0,0 +1,88 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/pimentohinge/pimentohinge/internal/backend"
+	"github.com/pimentohinge/pimentohinge/internal/control/dispatch"
+	"github.com/pimentohinge/pimentohinge/internal/routing"
+)
+
+// The size of the largest day of a sweep.
+const (
+	sweepServers = 3000
+	sweepPeers   = 99
+)
+
+// large is a core of one of 300 VMs and the list of servers that it was given.
+func large(now time.Time) (*dispatch.Core, []backend.Server) {
+	dataCentres := []string{"a", "b", "c", "d", "e", "f"}
+	regions := map[string]string{"a": "r1", "b": "r1", "c": "r2", "d": "r2", "e": "r3", "f": "r3"}
+	c := dispatch.New(dispatch.Options{
+		VM: "vm-50", DataCentre: "a", Regions: regions, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 200,
+	})
+	c.Step(now, dispatch.ServicesChanged{Services: map[string]routing.Service{
+		"engine": {Engine: &routing.Engine{CapacityTokens: 26000, Slots: 24}},
+		"plain":  {},
+	}})
+	var list []backend.Server
+	for i := range sweepServers {
+		service := "engine"
+		if i%8 == 0 {
+			service = "plain"
+		}
+		list = append(list, backend.Server{
+			ID: fmt.Sprintf("s-%04d", i), Service: service, Address: fmt.Sprintf("10.%d.%d.1:80", i/250, i%250),
+			DataCentre: dataCentres[i%len(dataCentres)], Slots: 24,
+		})
+	}
+	c.Step(now, dispatch.ServersChanged{Changed: list})
+	for p := range sweepPeers {
+		entries := map[string]dispatch.Entry{}
+		for i := range 10 {
+			entries[list[(p*10+i)%len(list)].ID] = dispatch.Entry{Requests: 2, Tokens: 6000}
+		}
+		c.Step(now, dispatch.PeerLedger{VM: fmt.Sprintf("vm-%d", p+100), Entries: entries})
+	}
+	return c, list
+}
+
+func BenchmarkServersChanged(b *testing.B) {
+	now := time.Now()
+	c, list := large(now)
+	for i := 0; b.Loop(); i++ {
+		x := &list[i%len(list)]
+		x.Slots++
+		c.Step(now, dispatch.ServersChanged{Changed: []backend.Server{*x}})
+	}
+}
+
+func BenchmarkAsk(b *testing.B) {
+	now := time.Now()
+	c, _ := large(now)
+	for i := uint64(1); b.Loop(); i++ {
+		c.Step(now, dispatch.Ask{ID: i, Service: "engine", Kind: routing.Streaming, Prompt: 3000, Output: 700})
+		c.Step(now, dispatch.Ended{ID: i})
+	}
+}
+
+func BenchmarkTick(b *testing.B) {
+	now := time.Now()
+	c, _ := large(now)
+	for b.Loop() {
+		now = now.Add(20 * time.Millisecond)
+		c.Step(now, dispatch.Retell{})
+		c.Step(now, dispatch.Tick{})
+	}
+}
+
+func BenchmarkPeerLedger(b *testing.B) {
+	now := time.Now()
+	c, list := large(now)
+	for i := 0; b.Loop(); i++ {
+		entries := map[string]dispatch.Entry{list[i%len(list)].ID: {Requests: 1}}
+		c.Step(now, dispatch.PeerLedger{VM: "vm-100", Entries: entries})
+	}
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -239,24 +239,28 @@
 	s.metrics.config.Set(float64(state.Version))
 }
 
-func (s *Server) takeServers(list []backend.Server) {
+func (s *Server) takeServers(changes []catalog.Entry) {
+	var m dispatch.ServersChanged
+	var unused []string
 	s.mu.Lock()
-	old := s.servers
-	s.servers = map[string]backend.Server{}
-	for _, x := range list {
-		s.servers[x.ID] = x
-	}
-	var gone []string
-	for id, x := range old {
-		if now, ok := s.servers[id]; !ok || !now.Same(x) {
-			gone = append(gone, x.Address)
+	for _, e := range changes {
+		old, known := s.servers[e.ID]
+		if known && (!e.InUse() || !old.Same(e.Server)) {
+			unused = append(unused, old.Address)
+		}
+		if !e.InUse() {
+			delete(s.servers, e.ID)
+			m.Gone = append(m.Gone, e.ID)
+			continue
 		}
+		s.servers[e.ID] = e.Server
+		m.Changed = append(m.Changed, e.Server)
 	}
 	s.mu.Unlock()
-	for _, address := range gone {
+	for _, address := range unused {
 		s.pool.Drop(address)
 	}
-	s.desk.tell(dispatch.ServersChanged{Servers: list})
+	s.desk.tell(m)
 }
 
 // Stop withdraws readiness, ends open requests within the grace that is left
