dispatch: order servers that cost the same differently at each VM

Cause: after all VMs were killed they start together, have heard of none other, and chose the servers with the lowest names: 17 VMs with three requests each put 17 on each of three servers with six slots. Change: ties go by a hash of the VM's and the server's name.

--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -47,6 +47,8 @@
 	// as seen from this VM.
 	engine *routing.Engine
 	place  place
+	// rank orders servers that are otherwise alike.
+	rank uint64
 	// runs are the requests of this VM on it, copies the memory promised to
 	// streams that may move to it.
 	runs   map[uint64]*run
@@ -156,7 +158,7 @@
 		s, known := c.servers[x.ID]
 		if !known || !s.Same(x) {
 			// A replica that started again knows nothing of before.
-			s = &server{runs: map[uint64]*run{}, copies: map[uint64]*run{}}
+			s = &server{runs: map[uint64]*run{}, copies: map[uint64]*run{}, rank: rank(c.opts.VM, x.ID)}
 			c.servers[x.ID] = s
 		}
 		left := s.Leaving
--- a/internal/control/dispatch/dispatch_test.go
+++ b/internal/control/dispatch/dispatch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -330,3 +331,29 @@
 		t.Errorf("%d of 100 requests went to a replica that fails all", sent["s0"])
 	}
 }
+
+// TestVMsThatStartTogetherSpread replays the moment after all VMs were killed:
+// none has heard of another yet, and all servers look the same to them. No
+// server gets more requests than it has slots.
+func TestVMsThatStartTogetherSpread(t *testing.T) {
+	const vms, each, slots = 17, 3, 6
+	list := servers("plain", slices.Repeat([]string{"a"}, 30)...)
+	count := map[string]int{}
+	for vm := range vms {
+		c := dispatch.New(dispatch.Options{VM: fmt.Sprintf("vm-%d", vm), DataCentre: "a", RetryWindow: time.Second})
+		c.Step(start, dispatch.ServicesChanged{Services: map[string]routing.Service{"plain": {Name: "plain"}}})
+		c.Step(start, dispatch.ServersChanged{Changed: list})
+		for id := range uint64(each) {
+			for _, a := range c.Step(start, dispatch.Ask{ID: id, Service: "plain", Kind: routing.Safe}) {
+				if p, ok := a.(dispatch.Placed); ok {
+					count[p.Server.ID]++
+				}
+			}
+		}
+	}
+	for id, n := range count {
+		if n > slots {
+			t.Errorf("%s got %d requests", id, n)
+		}
+	}
+}
--- a/internal/control/dispatch/place.go
+++ b/internal/control/dispatch/place.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"crypto/sha256"
+	"encoding/binary"
 	"slices"
 	"time"
 
@@ -103,13 +105,27 @@
 			continue
 		}
 		x := p.whole(s)
-		if best == nil || x < least || x == least && s.ID < best.ID {
+		if best == nil || x < least || x == least && s.before(best) {
 			best, least = s, x
 		}
 	}
 	return best
 }
 
+// before orders servers that cost the same, differently at each VM: those that
+// have not heard of each other yet must not all choose the same ones.
+func (s *server) before(o *server) bool {
+	if s.rank != o.rank {
+		return s.rank < o.rank
+	}
+	return s.ID < o.ID
+}
+
+func rank(vm, id string) uint64 {
+	h := sha256.Sum256([]byte(vm + "\x00" + id))
+	return binary.BigEndian.Uint64(h[:])
+}
+
 // cost is the time that a request loses at a server, as far as known.
 func (c *Core) cost(now time.Time, s *server, r *run) time.Duration {
 	cost := s.distance(r.Kind)
