catalog, ingress: read the servers exactly in every region, also where one VM is alone

Change: the VM that speaks for its region reads exactly in fleets of every size; one that is alone waits in longer slices. The configuration is read in longer slices than the servers. Tests: a notice behind frozen reads at a VM that is alone and at one that is told (both fail on the code before); 900 servers that change at once.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -70,6 +70,7 @@
 	exactEvery  time.Duration
 	feeds       map[string]*feed // by prefix; the map is not changed
 	leadUntil   atomic.Int64     // Unix ns
+	followers   atomic.Int64
 }
 
 // New returns a catalog that knows nothing yet.
@@ -248,7 +249,7 @@
 		}
 		return c.stale.Watch(ctx, prefix, at.after, until)
 	case c.leads(now) && !at.lost:
-		return c.opts.Store.Watch(ctx, prefix, at.after, now.Add(leadSlice))
+		return c.opts.Store.Watch(ctx, prefix, at.after, now.Add(c.slice(prefix)))
 	case now.Before(at.mistrustUntil) && !at.lost:
 		return c.opts.Store.Watch(ctx, prefix, at.after, now.Add(watchWait))
 	}
--- a/internal/catalog/feed.go
+++ b/internal/catalog/feed.go
@@ -14,11 +14,16 @@
 	// their version, keptChanges the changes that wait to be taken.
 	keptConfirmations = 8
 	keptChanges       = 64
-	// feedFresh is how old the newest exact read of another VM may be for this one
-	// to rely on being told.
+	// feedFresh is how old the newest exact read of the servers by another VM may
+	// be for this one to rely on being told: a notice is of use for a second or
+	// two. For the configuration it is the time between two exact reads.
 	feedFresh = 1600 * time.Millisecond
-	// leadSlice is the longest wait of one exact read that is made for others.
-	leadSlice = 400 * time.Millisecond
+	// leadSlice is the longest wait of one exact read of the servers that is made
+	// for others, configShare that of the configuration and aloneShare that of a VM
+	// that has no others, as shares of the time between two exact reads.
+	leadSlice   = 400 * time.Millisecond
+	configShare = 0.4
+	aloneShare  = 0.8
 	// behindEvery is the least time between two reads of what was not told.
 	behindEvery = 250 * time.Millisecond
 )
@@ -144,21 +149,44 @@
 	}
 }
 
-// Lead makes this catalog read exactly, and tell what it read, until a moment.
-func (c *Catalog) Lead(until time.Time) { c.leadUntil.Store(until.UnixNano()) }
+// Lead makes this catalog read exactly, and tell a number of others what it
+// read, until a moment.
+func (c *Catalog) Lead(until time.Time, followers int) {
+	c.leadUntil.Store(until.UnixNano())
+	c.followers.Store(int64(followers))
+}
 
 // Leads reports whether others rely on the exact reads of this catalog.
 func (c *Catalog) Leads() bool { return c.leads(time.Now()) }
 
+// slice is the longest wait of one exact read by a catalog that leads.
+func (c *Catalog) slice(prefix string) time.Duration {
+	switch {
+	case c.followers.Load() == 0:
+		return time.Duration(float64(c.exactEvery) * aloneShare)
+	case prefix == platform.ConfigKind:
+		return time.Duration(float64(c.exactEvery) * configShare)
+	}
+	return leadSlice
+}
+
+// freshFor is how long an exact read of another VM is relied on.
+func (c *Catalog) freshFor(prefix string) time.Duration {
+	if prefix == platform.ConfigKind {
+		return c.exactEvery
+	}
+	return feedFresh
+}
+
 func (c *Catalog) leads(now time.Time) bool { return now.UnixNano() < c.leadUntil.Load() }
 
 // fedUntil returns until when a follower needs no read of its own: what it is
 // told is fresh, and its own word was confirmed lately.
-func (c *Catalog) fedUntil(now time.Time, f *feed, at *cursor) time.Time {
+func (c *Catalog) fedUntil(now time.Time, prefix string, at *cursor) time.Time {
 	if at.after < 0 || c.leads(now) {
 		return time.Time{}
 	}
-	until := f.readAt().Add(feedFresh)
+	until := c.feeds[prefix].readAt().Add(c.freshFor(prefix))
 	if due := at.exactAt.Add(c.exactEvery); due.Before(until) {
 		until = due
 	}
@@ -172,7 +200,7 @@
 	for {
 		at.confirm(fed)
 		now := time.Now()
-		until := c.fedUntil(now, fed, at)
+		until := c.fedUntil(now, f.prefix, at)
 		if !now.Before(until) {
 			return
 		}
--- a/internal/ingress/changes.go
+++ b/internal/ingress/changes.go
@@ -3,18 +3,35 @@
 import (
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/pimentohinge/pimentohinge/internal/catalog"
 	"github.com/pimentohinge/pimentohinge/pkg/wire"
 	"github.com/pimentohinge/pimentohinge/platform"
 )
 
-// tellChange sends what this VM read in the store to the VMs of its region. It
-// does not block.
+const (
+	// changeBytes bounds what one VM sends of changes in a second, to all others
+	// together: links are as slow as 1.25 MB/s and carry answers of callers too.
+	changeBytes = 200 << 10
+	// objectBytes is the size of an object beside its value.
+	objectBytes = 64
+)
+
+func newChangeBudget() *rate.Limiter { return rate.NewLimiter(changeBytes, 2*changeBytes) }
+
+// tellChange sends what this VM read in the store to the VMs of its region.
+// When that is more than its link should carry, it sends that something changed
+// and the others read it in the store. It does not block.
 func (n *neighbours) tellChange(x catalog.Change) {
-	links, to := n.regional(time.Now())
+	now := time.Now()
+	links, to := n.regional(now)
 	if links == nil {
 		return
 	}
+	if size := changeSize(x) * len(to); size > 0 && !n.changes.AllowN(now, size) {
+		x.Objects, x.Omitted = nil, true
+	}
 	change := writeChange(x)
 	for _, vm := range to {
 		c := *change
@@ -46,6 +63,14 @@
 	}
 }
 
+func changeSize(x catalog.Change) int {
+	size := 0
+	for _, o := range x.Objects {
+		size += objectBytes + len(o.Value)
+	}
+	return size
+}
+
 func writeChange(x catalog.Change) *wire.Change {
 	out := &wire.Change{
 		Prefix: x.Prefix, After: int(x.After), Version: int(x.Version), Omitted: x.Omitted,
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -196,20 +196,15 @@
 // tellLedger passes a ledger on. The VM that speaks for its region also reads
 // the store for it.
 func (s *Server) tellLedger(a dispatch.TellLedger) {
-	if a.Region && a.Peers >= leastFollowers {
-		s.catalog.Lead(time.Now().Add(leadTime))
+	if a.Region {
+		s.catalog.Lead(time.Now().Add(leadTime), a.Peers)
 	}
 	s.neighbours.tell(a)
 }
 
-const (
-	// leadTime is how long a VM reads the store for others after it last spoke
-	// for its region.
-	leadTime = time.Second
-	// leastFollowers is the number of VMs from which on that costs fewer calls
-	// than when each reads for itself.
-	leastFollowers = 4
-)
+// leadTime is how long a VM reads the store for others after it last spoke for
+// its region.
+const leadTime = time.Second
 
 // exactRead is called before an exact read of the store. What it returns notes
 // the version that was read and lets the other VMs know.
--- a/internal/ingress/neighbours.go
+++ b/internal/ingress/neighbours.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"golang.org/x/time/rate"
 
 	"github.com/pimentohinge/pimentohinge/internal/catalog"
 	"github.com/pimentohinge/pimentohinge/internal/control/beats"
@@ -48,8 +49,9 @@
 	heard func(dispatch.PeerLedger)
 	// confirm takes exact reads of other VMs.
 	confirm func(prefix string, c catalog.Confirmation)
-	// change takes what other VMs read.
-	change func(catalog.Change)
+	// change takes what other VMs read; changes bounds what this one tells.
+	change  func(catalog.Change)
+	changes *rate.Limiter
 	beats  *beats.Book
 	// grown is told how many VMs are known.
 	grown func(vms int)
@@ -72,7 +74,7 @@
 			Name: g.VM.Name, Region: g.VM.Region, DataCentre: g.VM.DataCentre, PeerAddress: g.Listen.Peers,
 		},
 		store: store, log: l, heard: heard, vms: map[string]wire.VM{}, away: map[string]time.Time{},
-		beats: beats.New(mathrand.Int64N(firstBeats)),
+		beats: beats.New(mathrand.Int64N(firstBeats)), changes: newChangeBudget(),
 	}
 }
 
--- a/test/gateway/feed_test.go
+++ b/test/gateway/feed_test.go
@@ -134,6 +134,68 @@
 	})
 }
 
+// TestOldReadsAreNotBelieved freezes the reads that may be old: a VM that is
+// told of a change, reads it and sees none has it in force within the bound.
+func TestOldReadsAreNotBelieved(t *testing.T) {
+	run(t, func(_ *testing.T, w *world) {
+		f := w.newFleet(3)
+		defer f.kill()
+		w.plain("p-1", nil)
+		w.store.SetFaults(store.Faults{FrozenBefore: w.store.Version()})
+		w.configure(9, added)
+		time.Sleep(3 * time.Second)
+		f.all("/new/x", "after", http.StatusOK)
+	})
+}
+
+// TestNoticeBehindOldReads gives an engine's notice while the store answers
+// reads that may be old from the past: streams are moved in time all the same,
+// at a VM that is alone as at one that is told by another.
+func TestNoticeBehindOldReads(t *testing.T) {
+	for _, vms := range []int{1, 3} {
+		t.Run(fmt.Sprintf("%d VMs", vms), func(t *testing.T) {
+			run(t, func(_ *testing.T, w *world) {
+				f := w.newFleet(vms)
+				defer f.kill()
+				w.engine("e-1", "a")
+				last := f.at(f.hosts[vms-1] + ":8000")
+				done := last.reports(5, 200, 300*time.Millisecond)
+				w.engine("e-2", "a")
+				time.Sleep(time.Second)
+				w.store.SetFaults(store.Faults{FrozenBefore: w.store.Version()})
+				w.leave("e-1")
+				time.Sleep(1540 * time.Millisecond)
+				w.up["e-1"].Stop()
+				w.smooth(done(), 200)
+			})
+		})
+	}
+}
+
+// TestManyServersChangeAtOnce changes more servers than one VM may send to the
+// others: they read the rest by themselves, and calls stay few.
+func TestManyServersChangeAtOnce(t *testing.T) {
+	run(t, func(t *testing.T, w *world) {
+		f := w.newFleet(6)
+		defer f.kill()
+		before := w.store.Counts()
+		for i := range 900 {
+			w.announce(fmt.Sprintf("p-%03d", i), "plain", fmt.Sprintf("10.2.%d.%d:80", i/200, i%200), "a", "draining")
+			if i%10 == 0 {
+				time.Sleep(time.Millisecond)
+			}
+		}
+		w.plain("p-1", nil)
+		time.Sleep(time.Second)
+		f.all("/safe/x", "after", http.StatusOK)
+		reads := w.store.Counts()
+		exact := reads.Reads - before.Reads - (reads.Cheap - before.Cheap)
+		if exact > 5*6 {
+			t.Errorf("%d exact reads", exact)
+		}
+	})
+}
+
 // TestTheVMThatReadsForOthersFalls takes away, in several ways, the VM that the
 // others rely on: changes are in force within the bound all the same.
 func TestTheVMThatReadsForOthersFalls(t *testing.T) {
