logbook: explain a request of the gateway from log lines

Cause: OPERATIONS.md led from a failed request to its cause by hand only. Change: package logbook reads the lines of any number of VMs, also merged ones; explain ID < LOG says why the request failed, how sure that is and on which lines it rests. A stream for which no server can be asked logs noTarget.

--- a/cmd/pimentohinge/explain.go
+++ b/cmd/pimentohinge/explain.go
@@ -3,24 +3,34 @@
 import (
 	"fmt"
 	"net/url"
+	"os"
 	"sort"
 	"strconv"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/rotisserie/eris"
 
 	"github.com/pimentohinge/pimentohinge/internal/incident"
+	"github.com/pimentohinge/pimentohinge/internal/logbook"
 )
 
+// standardInput names it among files.
+const standardInput = "-"
+
 func init() {
-	register(command{name: "explain", help: "Explain why a request was late, stalled, refused, interrupted or left unknown.", setup: func(c *kingpin.CmdClause) func() error {
-		o, format := operatorFlags(c), formatFlag(c)
+	register(command{name: "explain", help: "Explain why a request was late, stalled, refused, interrupted or left unknown: asks a VM of pimentohinge serve, or reads log lines of pimentohinge gateway.", setup: func(c *kingpin.CmdClause) func() error {
+		o, format := optionalOperatorFlags(c), formatFlag(c)
 		workspace := c.Flag("workspace", "Explain requests of this workspace.").String()
 		since := c.Flag("since", "Explain requests of this last time.").Default("1h").Duration()
 		worst := c.Flag("worst", "Order by this measure: stall.").Enum("", "stall")
 		most := c.Flag("most", "Largest number of requests.").Default("20").Int()
-		request := c.Arg("request", "Request id, from the header X-Request-Id.").String()
+		logs := c.Flag("logs", "File with log lines of a VM; repeat it for several VMs. - or no file and no --key: standard input.").Strings()
+		request := c.Arg("request", "Request id: from the header X-Request-Id, or the attempt's id on the users' platform.").String()
 		return func() error {
+			if len(*logs) > 0 || *o.key == "" {
+				return explainLogs(*logs, *request, *format)
+			}
 			if *request != "" {
 				return explainOne(o, *request, *format)
 			}
@@ -34,6 +44,40 @@
 	}})
 }
 
+// explainLogs explains a request from log lines.
+func explainLogs(files []string, request, format string) error {
+	if request == "" {
+		return eris.New("explain needs a request id to look for in log lines, or --key to ask a VM")
+	}
+	if len(files) == 0 {
+		files = []string{standardInput}
+	}
+	book := &logbook.Book{}
+	for _, name := range files {
+		if err := readLog(book, name); err != nil {
+			return err
+		}
+	}
+	x := book.Explain(request)
+	if format == formatJSON {
+		return printJSON(x)
+	}
+	fmt.Print(x.Text())
+	return nil
+}
+
+func readLog(book *logbook.Book, name string) error {
+	if name == standardInput {
+		return book.Read(os.Stdin, "")
+	}
+	f, err := os.Open(name)
+	if err != nil {
+		return eris.Wrap(err, "open log")
+	}
+	defer func() { _ = f.Close() }()
+	return book.Read(f, name)
+}
+
 func explainOne(o operatorClient, request, format string) error {
 	var x incident.Explanation
 	if err := o.get("/v1/explain/"+url.PathEscape(request), nil, &x); err != nil {
--- a/cmd/pimentohinge/operate.go
+++ b/cmd/pimentohinge/operate.go
@@ -28,11 +28,23 @@
 }
 
 func operatorFlags(c *kingpin.CmdClause) operatorClient {
-	return operatorClient{
-		address: c.Flag("operator", "URL of the operators' interface of any VM.").Default("http://127.0.0.1:7003").
-			Envar("PIMENTOHINGE_OPERATOR").String(),
-		key: c.Flag("key", "Operator's key.").Envar("PIMENTOHINGE_KEY").Required().String(),
-	}
+	o := operatorClient{address: operatorFlag(c)}
+	o.key = keyFlag(c).Required().String()
+	return o
+}
+
+// optionalOperatorFlags is operatorFlags for a command that can do without.
+func optionalOperatorFlags(c *kingpin.CmdClause) operatorClient {
+	return operatorClient{address: operatorFlag(c), key: keyFlag(c).String()}
+}
+
+func operatorFlag(c *kingpin.CmdClause) *string {
+	return c.Flag("operator", "URL of the operators' interface of any VM.").Default("http://127.0.0.1:7003").
+		Envar("PIMENTOHINGE_OPERATOR").String()
+}
+
+func keyFlag(c *kingpin.CmdClause) *kingpin.FlagClause {
+	return c.Flag("key", "Operator's key.").Envar("PIMENTOHINGE_KEY")
 }
 
 // call sends one request and decodes the answer into out. An answer with an
--- a/internal/ingress/neighbours.go
+++ b/internal/ingress/neighbours.go
@@ -52,7 +52,7 @@
 	// change takes what other VMs read; changes bounds what this one tells.
 	change  func(catalog.Change)
 	changes *rate.Limiter
-	beats  *beats.Book
+	beats   *beats.Book
 	// grown is told how many VMs are known.
 	grown func(vms int)
 
--- a/internal/ingress/rescue.go
+++ b/internal/ingress/rescue.go
@@ -197,6 +197,9 @@
 	var refused []string
 	for range maxTargets {
 		target, ok := s.target(st, refused)
+		if !ok && len(refused) == 0 {
+			s.log.Info().Str("event", "noTarget").Str("request", st.q.ask.Attempt).Str("from", e.from.ID).Msg("")
+		}
 		if !ok || !e.plan.MayCopy(time.Now(), tokens, e.link, s.way(e.from, target)) {
 			return handover{}, time.Now().Before(e.plan.Handover())
 		}
--- /dev/null
+++ b/internal/logbook/logbook.go
@@ -0,0 +1,106 @@
+// Package logbook reads the log lines of entry VMs on the users' platform and
+// explains from them how a request ended.
+package logbook
+
+import (
+	"bufio"
+	"io"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	maxLineBytes = 1 << 20
+	timePrefix   = "time="
+)
+
+// Line is one log line.
+type Line struct {
+	// VM wrote the line; empty when neither the line nor its source says so.
+	VM string
+	At time.Time
+	// Event is what happened; Fields are the other pairs.
+	Event  string
+	Fields map[string]string
+	// Text is the line as it was read.
+	Text string
+}
+
+// Book holds the lines of any number of VMs, in the order of their times.
+type Book struct {
+	lines []Line
+	// Unread counts lines that are not log lines.
+	Unread int
+}
+
+// Read adds the lines of a source. The word before a line's time names its VM,
+// as collectors that merge logs write it; otherwise the line of its start does,
+// and before that the name of the source.
+func (b *Book) Read(r io.Reader, source string) error {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxLineBytes)
+	vm := source
+	for scanner.Scan() {
+		l, ok := parse(scanner.Text())
+		if !ok {
+			b.Unread++
+			continue
+		}
+		if l.Event == "started" && l.VM == "" {
+			vm = l.Fields["vm"]
+		}
+		if l.VM == "" {
+			l.VM = vm
+		}
+		b.lines = append(b.lines, l)
+	}
+	sort.SliceStable(b.lines, func(i, j int) bool { return b.lines[i].At.Before(b.lines[j].At) })
+	return eris.Wrapf(scanner.Err(), "read log lines of %s", source)
+}
+
+func parse(text string) (Line, bool) {
+	at := strings.Index(text, timePrefix)
+	if at < 0 {
+		return Line{}, false
+	}
+	l := Line{Text: strings.TrimSpace(text), Fields: map[string]string{}}
+	if words := strings.Fields(text[:at]); len(words) > 0 {
+		l.VM = words[len(words)-1]
+	}
+	for rest := text[at:]; rest != ""; {
+		key, value, after, ok := pair(rest)
+		if !ok {
+			return Line{}, false
+		}
+		l.Fields[key] = value
+		rest = strings.TrimLeft(after, " ")
+	}
+	var err error
+	if l.At, err = time.Parse(time.RFC3339Nano, l.Fields["time"]); err != nil {
+		return Line{}, false
+	}
+	l.Event = l.Fields["event"]
+	return l, l.Event != ""
+}
+
+// pair splits the first key=value pair off a line.
+func pair(s string) (key, value, rest string, ok bool) {
+	key, s, ok = strings.Cut(s, "=")
+	if !ok || key == "" || strings.ContainsAny(key, " \"") {
+		return "", "", "", false
+	}
+	if !strings.HasPrefix(s, `"`) {
+		value, rest, _ = strings.Cut(s, " ")
+		return key, value, rest, true
+	}
+	quoted, err := strconv.QuotedPrefix(s)
+	if err != nil {
+		return "", "", "", false
+	}
+	value, err = strconv.Unquote(quoted)
+	return key, value, s[len(quoted):], err == nil
+}
--- /dev/null
+++ b/internal/logbook/logbook_test.go
@@ -0,0 +1,118 @@
+package logbook_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/pimentohinge/pimentohinge/internal/logbook"
+	"github.com/pimentohinge/pimentohinge/internal/outcome"
+)
+
+const (
+	at0 = "time=2026-07-26T10:28:00Z level=info "
+	at1 = "time=2026-07-26T10:28:01Z level=info "
+	at2 = "time=2026-07-26T10:28:02Z level=info "
+	at3 = "time=2026-07-26T10:28:03Z level=info "
+)
+
+func read(t *testing.T, sources map[string][]string) *logbook.Book {
+	t.Helper()
+	b := &logbook.Book{}
+	for name, lines := range sources {
+		if err := b.Read(strings.NewReader(strings.Join(lines, "\n")), name); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return b
+}
+
+// TestLinesOfSeveralVMs explains from the lines of other VMs what the request's
+// own VM could not know, and does not state what the lines leave open.
+func TestLinesOfSeveralVMs(t *testing.T) {
+	const (
+		placed = "event=placed request=r1 server=e-1 repeat=false"
+		cut    = "event=ended request=r1 kind=streaming outcome=interrupted cause=engineLost status=200 server=e-1 attempts=1 tookMs=900"
+	)
+	type finding struct {
+		Reason  logbook.Reason
+		Cause   outcome.Cause
+		VM      string
+		Certain bool
+	}
+	for name, c := range map[string]struct {
+		sources map[string][]string
+		want    finding
+	}{
+		"VM was killed and started again": {
+			map[string][]string{"a": {at0 + "event=started vm=vm-1", at1 + placed, at2 + "event=started vm=vm-1"}},
+			finding{logbook.VMEnded, outcome.VMLost, "vm-1", true},
+		},
+		"no line after it was sent": {
+			map[string][]string{"a": {at0 + "event=started vm=vm-1", at1 + placed}},
+			finding{logbook.Other, outcome.None, "vm-1", false},
+		},
+		"another VM had the notice": {
+			map[string][]string{
+				"a": {at0 + placed, at2 + cut},
+				"b": {at1 + "event=server server=e-1 belief=leaving"},
+			},
+			finding{logbook.NoticeLate, outcome.EngineLost, "a", true},
+		},
+		"the store removed the server afterwards": {
+			map[string][]string{
+				"a": {at0 + placed, at2 + cut},
+				"b": {at3 + "event=server server=e-1 belief=gone"},
+			},
+			finding{logbook.ServerDied, outcome.EngineLost, "a", true},
+		},
+		"nothing tells that the server ended": {
+			map[string][]string{"a": {at0 + placed, at2 + cut}},
+			finding{logbook.ConnectionBroken, outcome.EngineLost, "a", false},
+		},
+		"merged lines with the VM before the time": {
+			map[string][]string{"": {"  1.25 vm-7 " + at0 + placed, "  2.25 vm-7 " + at2 + cut, "  3.25 vm-8 " + at3 + "event=server server=e-1 belief=gone"}},
+			finding{logbook.ServerDied, outcome.EngineLost, "vm-7", true},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x := read(t, c.sources).Explain("r1")
+			if diff := cmp.Diff(c.want, finding{x.Reason, x.Cause, x.VM, x.Certain}); diff != "" {
+				t.Errorf("explanation (-want +got):\n%s\n%s", diff, x.Text())
+			}
+		})
+	}
+}
+
+// TestUnreadLinesAreCounted gives lines that are none, and asks for a request
+// that no line names.
+func TestUnreadLinesAreCounted(t *testing.T) {
+	b := read(t, map[string][]string{"a": {
+		"panic: something else", "time=yesterday event=placed", at0 + `event=placed detail="not closed`, at0 + "level=info",
+		at0 + `event=ended request=r2 detail="a \"b\" c=d" outcome=finished status=200`,
+	}})
+	if b.Unread != 4 {
+		t.Errorf("%d lines unread", b.Unread)
+	}
+	if x := b.Explain("r1"); x.Reason != logbook.NotFound || x.Certain {
+		t.Errorf("explained %+v", x)
+	}
+	if x := b.Explain("r2"); x.Reason != logbook.NoFailure {
+		t.Errorf("explained %+v", x)
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add(at0 + `event=ended request=r1 detail="a b" outcome=unknown cause=serviceLost status=502`)
+	f.Add(at0 + "event=started vm=vm-1\n" + at1 + "event=placed request=r1 server=e-1")
+	f.Fuzz(func(t *testing.T, lines string) {
+		b := &logbook.Book{}
+		if err := b.Read(strings.NewReader(lines), "a"); err != nil {
+			return
+		}
+		if x := b.Explain("r1"); x.Reason == "" || len(x.Sentences) == 0 {
+			t.Errorf("no reason for %q", lines)
+		}
+	})
+}
--- a/test/gateway/world_test.go
+++ b/test/gateway/world_test.go
@@ -56,6 +56,12 @@
 	return l.b.Write(p)
 }
 
+func (l *lines) text() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
 func (l *lines) count(text string) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
