--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -155,7 +155,7 @@
 		at.calledAt = time.Now()
 		exact := c.leads(at.calledAt) || at.exact(at.calledAt, c.exactEvery)
 		done := c.beginRead(f.prefix, exact)
-		l, st := c.next(ctx, f.prefix, at, exact)
+		l, st := c.next(ctx, f, at, exact)
 		now := time.Now()
 		switch st {
 		case platform.OK:
@@ -233,12 +233,16 @@
 // next makes one call. A store that was lost is asked for an answer at once:
 // one that is silent must not hold a waiting watch beyond its return. So is one
 // whose word from the past has to be confirmed.
-func (c *Catalog) next(ctx context.Context, prefix string, at *cursor, exact bool) (platform.Listing, platform.Status) {
+func (c *Catalog) next(ctx context.Context, f follower, at *cursor, exact bool) (platform.Listing, platform.Status) {
+	prefix := f.prefix
 	c.calls.Add(1)
 	now := time.Now()
 	switch {
 	case at.after < 0:
-		return c.opts.Store.List(ctx, prefix)
+		return c.opts.Store.ListPages(ctx, prefix, func(page []platform.Object) {
+			// What is there can be used while the rest is on its way.
+			f.take(platform.Listing{Objects: page})
+		})
 	case at.behind && !exact:
 		return c.stale.Watch(ctx, prefix, at.after, now)
 	case !exact:
--- a/test/gateway/store_test.go
+++ b/test/gateway/store_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -186,3 +187,22 @@
 		}
 	})
 }
+
+// TestLongListIsUsedAsItComes starts a VM while the store is slow and has many
+// servers, as when all VMs of a large fleet start at once: it serves from the
+// first page of the list.
+func TestLongListIsUsedAsItComes(t *testing.T) {
+	run(t, func(t *testing.T, w *world) {
+		w.plain("a-1", nil)
+		for i := range 2000 {
+			w.announce(fmt.Sprintf("p-%04d", i), "plain", fmt.Sprintf("10.2.%d.%d:80", i/200, i%200), "a", "draining")
+		}
+		w.store.SetFaults(store.Faults{DelayMs: 900})
+		late := w.newVM("vm-2", "10.1.0.2")
+		defer late.Kill()
+		time.Sleep(2 * time.Second)
+		if got := w.at("10.1.0.2:8000").serves("/safe/x"); got != http.StatusOK {
+			t.Errorf("status %d", got)
+		}
+	})
+}
