ingress, dispatch: pass over servers that cannot be reached until one lives

Change: a server that nothing reaches does not count as one of the four that may get a request; up to 16 are tried. It is left alone for longer each time, up to 12 s, until it answers.

--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -59,6 +59,8 @@
 	// fails is a moving share of requests that failed, failedAt when the last did.
 	fails    float64
 	failedAt time.Time
+	// unreached counts attempts since it was last reached.
+	unreached int
 	// avoidUntil keeps requests away after it could not be reached or shed.
 	avoidUntil time.Time
 	// noticed is set once its streams were told to move.
@@ -206,6 +208,7 @@
 		return
 	}
 	r.started = true
+	r.on.unreached = 0
 	c.changed = true
 	r.on.heard(now, m.Load)
 	r.on.fails *= failureMemory
@@ -237,6 +240,7 @@
 	s.heard(now, m.Load)
 	switch m.Verdict {
 	case Served:
+		s.unreached = 0
 		s.fails *= failureMemory
 	case Failed:
 		s.fails = s.fails*failureMemory + 1 - failureMemory
@@ -244,7 +248,8 @@
 	case Shed:
 		s.avoidUntil = now.Add(shedPause)
 	case Unreached:
-		s.avoidUntil = now.Add(unreachedPause)
+		s.avoidUntil = now.Add(unreachedPause << min(s.unreached, mostDoublings))
+		s.unreached++
 	case Withdrawn:
 	}
 }
--- a/internal/control/dispatch/place.go
+++ b/internal/control/dispatch/place.go
@@ -19,8 +19,10 @@
 	ejectPause = 2 * time.Second
 	// shedPause keeps requests from a server that was full a moment ago.
 	shedPause = 150 * time.Millisecond
-	// unreachedPause keeps requests from a server that could not be reached.
+	// unreachedPause keeps requests from a server that could not be reached; it
+	// doubles up to mostDoublings times while that stays so.
 	unreachedPause = 1500 * time.Millisecond
+	mostDoublings  = 3
 	// heardFor is how long a server's word on its load is used.
 	heardFor = 5 * time.Second
 	// overrunShare: an answer longer than guessed grows by a fourth more.
--- a/internal/ingress/plain.go
+++ b/internal/ingress/plain.go
@@ -20,8 +20,10 @@
 
 const (
 	maxAnswerBytes = 8 << 20
-	// maxSends bounds the servers that are tried while none has run a request.
+	// maxSends bounds the servers that get a request while none has run it, and
+	// maxTried those that are tried, as nothing reaches some of them.
 	maxSends = 4
+	maxTried = 16
 	// leastLeft is the least time in which another server is worth trying.
 	leastLeft = 20 * time.Millisecond
 )
@@ -50,7 +52,7 @@
 	var tried []string
 	var last result
 	runs := 0
-	for range maxSends {
+	for q.attempts < maxSends && len(tried) < maxTried {
 		placed, refusal, ok := s.place(q, tried, q.attempts > 0)
 		if !ok {
 			return s.giveUp(q, last, runs, refusal)
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -111,7 +111,7 @@
 func (s *Server) openStream(q *request) (*replica.Answer, backend.Server, outcome.Outcome, bool) {
 	var tried []string
 	var last result
-	for range maxSends {
+	for q.attempts < maxSends && len(tried) < maxTried {
 		placed, refusal, ok := s.place(q, tried, q.attempts > 0)
 		if !ok {
 			return nil, backend.Server{}, s.giveUp(q, last, 0, refusal), false
--- a/test/gateway/plain_test.go
+++ b/test/gateway/plain_test.go
@@ -218,3 +218,22 @@
 		}
 	})
 }
+
+// TestDeadServersInTheList replays what inc-0972 of klepsydra-serwis-grown shows:
+// several servers died and their entries are still there. Requests pass them
+// over until one that lives is found.
+func TestDeadServersInTheList(t *testing.T) {
+	run(t, func(t *testing.T, w *world) {
+		w.engine("e-9", "b")
+		w.plain("p-9", nil)
+		for i := range 8 {
+			w.announce(fmt.Sprintf("e-%d", i), "engine", fmt.Sprintf("10.2.0.%d:80", i), "a", "ready")
+			w.announce(fmt.Sprintf("p-%d", i), "plain", fmt.Sprintf("10.2.1.%d:80", i), "a", "ready")
+		}
+		time.Sleep(500 * time.Millisecond)
+		w.whole(w.report(w.t.Context(), "s0", 20), 20)
+		if got := w.serves("/safe/x"); got != http.StatusOK {
+			t.Errorf("status %d", got)
+		}
+	})
+}
