internal/control: take a cancelled request out of its queue, hand nothing over for engines that left

Cause: cancel removed a request from its queue only in phase waiting. One whose reservation was asked of another VM stayed queued, was placed from the load report when the reply was overdue, and its place was never given back. handOverReservations looked up the admitter of an engine that had left the list: nil dereference.

Change: cancel removes it in phase reserving too; engines that are not listed are skipped.

Result: TestCancelledRequestIsNotPlaced (before: 1 queued, -1 open) and TestHandOverWithoutListedEngine (before: panic) fail on and pass now. go test ./internal/control.

--- a/internal/control/request.go
+++ b/internal/control/request.go
@@ -146,6 +146,7 @@
 	case waiting:
 		c.queue(r.Service).remove(r)
 	case reserving:
+		c.queue(r.Service).remove(r)
 		c.sendReserveEnd(r, 0, false)
 	case placed:
 		c.releaseBackend(r, 0, false)
--- a/internal/control/reserve.go
+++ b/internal/control/reserve.go
@@ -356,6 +356,10 @@
 		if r.phase != placed || r.backend.ledger == nil || r.reserveAsk.Engine == "" {
 			continue
 		}
+		if c.backends[r.backend.Name] != r.backend {
+			// The engine has left the list: no admitter keeps a ledger for it.
+			continue
+		}
 		admitter := c.admitter(r.backend)
 		if admitter == r.admitter || admitter == "" {
 			continue
