test: replace three checks that could not fail, reserve loopback addresses

Cause: TestPeerPortRejectsCertificateOfAnotherCA passed with tls.NoClientCert, as the server closes a silent connection anyway. orderGiverDies killed VM 0, which may not hold the lease. The last check of leavingWhilePlatformOut counted generations that a leaving engine never starts. fleet.Loopback took a free port, closed it and listened again.

Change: the peer port must answer the fleet's certificate and reject another one with a TLS alert; the holder of the lease is killed and the orders are counted; requests to the leaving engine are counted, refused ones too. Listeners are kept until the process listens.

--- a/cmd/pimentohinge/demo.go
+++ b/cmd/pimentohinge/demo.go
@@ -55,7 +55,7 @@
 	defer cancel()
 	started := time.Now()
 	f, err := fleet.Start(fleet.Options{
-		Hosts: fleet.Loopback{}, Log: logger,
+		Hosts: fleet.NewLoopback(), Log: logger,
 		DataCentres: []fleet.DataCentre{
 			{Name: "walsall-a-1", Region: "walsall-a", VMs: 2, Engines: 2, Ledgers: 1},
 			{Name: "walsall-a-2", Region: "walsall-a", VMs: 2, Engines: 1},
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -18,7 +18,7 @@
 func startFleet(t *testing.T) *fleet.Fleet {
 	t.Helper()
 	f, err := fleet.Start(fleet.Options{
-		Hosts: fleet.Loopback{}, Log: logline.New(io.Discard, "error"),
+		Hosts: fleet.NewLoopback(), Log: logline.New(io.Discard, "error"),
 		DataCentres: []fleet.DataCentre{{Name: "walsall-a-1", Region: "walsall-a", VMs: 1, Engines: 1, Ledgers: 1}},
 	})
 	if err != nil {
--- a/internal/control/admit/admit.go
+++ b/internal/control/admit/admit.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"github.com/pimentohinge/pimentohinge/internal/mutation"
 	"github.com/pimentohinge/pimentohinge/internal/outcome"
 	"github.com/pimentohinge/pimentohinge/pkg/wire"
 )
@@ -208,7 +209,7 @@
 	if !fresh {
 		return outcome.AdmitterLost
 	}
-	if report.Leaving {
+	if report.Leaving && !mutation.Enabled(mutation.LeavingIgnored) {
 		return outcome.EngineReclaimed
 	}
 	if len(l.reservations) >= report.Slots {
--- a/internal/control/lease/lease.go
+++ b/internal/control/lease/lease.go
@@ -82,7 +82,7 @@
 		return l.writeRequest(now, platform.Condition{Version: l.version}), true
 	case l.version == 0:
 		return l.writeRequest(now, platform.Condition{Absent: true}), true
-	case now.Sub(l.seenAt) >= l.opts.Duration+l.opts.Margin:
+	case now.Sub(l.seenAt) >= l.opts.Duration+l.opts.Margin && !mutation.Enabled(mutation.LeaseNotTakenOver):
 		return l.writeRequest(now, platform.Condition{Version: l.version}), true
 	}
 	return Request{Kind: Read, sentAt: now}, true
--- a/internal/control/reserve.go
+++ b/internal/control/reserve.go
@@ -266,7 +266,7 @@
 	if reply.Granted {
 		c.reserveCredit = min(maxReserveCredit, c.reserveCredit+reserveCreditPerGrant)
 	}
-	if reply.Granted && b != nil && !b.leaving {
+	if reply.Granted && b != nil && (!b.leaving || mutation.Enabled(mutation.LeavingIgnored)) {
 		c.handleGrant(r, b, r.admitter)
 		return
 	}
--- a/internal/mutation/mutation.go
+++ b/internal/mutation/mutation.go
@@ -44,6 +44,8 @@
 	// LeaseFromResponseTime starts a lease at the platform's response instead of at the
 	// time when the request was sent.
 	LeaseFromResponseTime Mutation = "leaseFromAnswer"
+	// LeaseNotTakenOver leaves the lease of a failed holder as it is.
+	LeaseNotTakenOver Mutation = "leaseNotTakenOver"
 	// NotRunWithoutCheck reports notRun for a request although an engine may have
 	// started it.
 	NotRunWithoutCheck Mutation = "refusalWithoutCheck"
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -49,22 +49,51 @@
 	Address(host string) (string, error)
 }
 
-// Loopback is a Hosts that places every host on the loopback interface.
-type Loopback struct{}
+// Loopback is a Hosts that places every host on the loopback interface. It keeps the
+// listener of each address that it returns until a process listens there, so that no
+// other program can take the port meanwhile.
+type Loopback struct {
+	mu       sync.Mutex
+	reserved map[string]net.Listener // by address
+}
+
+// NewLoopback returns a Loopback without reserved addresses.
+func NewLoopback() *Loopback { return &Loopback{reserved: map[string]net.Listener{}} }
 
 // Host returns the network of the operating system.
-func (Loopback) Host(string) network.Network { return network.TCP{} }
+func (l *Loopback) Host(string) network.Network { return loopbackNetwork{hosts: l} }
 
-// Address returns a free loopback address.
-func (Loopback) Address(string) (string, error) {
+// Address reserves a free loopback address.
+func (l *Loopback) Address(string) (string, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", eris.Wrap(err, "find a free port")
 	}
-	defer func() { _ = ln.Close() }()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reserved[ln.Addr().String()] = ln
 	return ln.Addr().String(), nil
 }
 
+// loopbackNetwork is the TCP network with the reserved listeners of hosts.
+type loopbackNetwork struct {
+	network.TCP
+	hosts *Loopback
+}
+
+// Listen returns the reserved listener of an address, the first time, and otherwise
+// opens one.
+func (n loopbackNetwork) Listen(addr string) (net.Listener, error) {
+	n.hosts.mu.Lock()
+	ln, ok := n.hosts.reserved[addr]
+	delete(n.hosts.reserved, addr)
+	n.hosts.mu.Unlock()
+	if ok {
+		return ln, nil
+	}
+	return n.TCP.Listen(addr)
+}
+
 // DataCentre describes one data centre.
 type DataCentre struct {
 	// Name is the data centre's name and Region that of its region.
--- a/internal/standin/llm/http.go
+++ b/internal/standin/llm/http.go
@@ -64,6 +64,7 @@
 func (e *Engine) accept(req wire.GenerateRequest) (gen *generation, status int, cause string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.requested++
 	switch {
 	case req.Generation == "" || req.MaxTokens < 1 || req.PromptTokens < 1:
 		return nil, http.StatusBadRequest, "badRequest"
--- a/internal/standin/llm/llm.go
+++ b/internal/standin/llm/llm.go
@@ -105,6 +105,7 @@
 	model          *enginesim.Engine
 	models         []string
 	generations    map[string]*generation
+	requested      int
 	started        int
 	faults         Faults
 	reclaimed      bool
@@ -182,6 +183,14 @@
 	}
 }
 
+// Requested returns the number of requests for generations so far, including those
+// that were refused.
+func (e *Engine) Requested() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.requested
+}
+
 // Started returns the number of generations accepted so far.
 func (e *Engine) Started() int {
 	e.mu.Lock()
--- a/internal/vm/tls_test.go
+++ b/internal/vm/tls_test.go
@@ -8,6 +8,7 @@
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
+	"errors"
 	"io"
 	"math/big"
 	"net"
@@ -92,7 +93,7 @@
 func startFleet(t *testing.T, vms int, change func(*settings.Settings)) *fleet.Fleet {
 	t.Helper()
 	f, err := fleet.Start(fleet.Options{
-		Hosts: fleet.Loopback{}, Log: logline.New(io.Discard, "error"), Settings: change,
+		Hosts: fleet.NewLoopback(), Log: logline.New(io.Discard, "error"), Settings: change,
 		DataCentres: []fleet.DataCentre{{Name: "walsall-a-1", Region: "walsall-a", VMs: vms, Engines: 1}},
 	})
 	if err != nil {
@@ -152,12 +153,11 @@
 	return c
 }
 
-// TestPeerPortRejectsCertificateOfAnotherCA connects to a VM's peer port with a
-// certificate of a CA other than the fleet's. The VM must refuse the connection.
-func TestPeerPortRejectsCertificateOfAnotherCA(t *testing.T) {
-	fleetCA, otherCA := newTestCA(t, "fleet"), newTestCA(t, "stranger")
-	f := startFleet(t, 1, fleetCA.configureTLS)
-	cert, key := otherCA.issue("stranger-vm")
+// peerPortResponse sends an HTTP request to a VM's peer port with a certificate that the
+// issuer signed, and returns the first byte of the response.
+func peerPortResponse(t *testing.T, f *fleet.Fleet, fleetCA, issuer *testCA) (byte, error) {
+	t.Helper()
+	cert, key := issuer.issue("client-vm")
 	pair, err := tls.LoadX509KeyPair(cert, key)
 	if err != nil {
 		t.Fatal(err)
@@ -166,11 +166,30 @@
 	pool.AddCert(parseCertificate(t, fleetCA.file))
 	conn, err := tls.Dial("tcp", f.VMs[0].Self().PeerAddress, &tls.Config{RootCAs: pool, Certificates: []tls.Certificate{pair}})
 	if err != nil {
-		return
+		return 0, err
 	}
 	defer func() { _ = conn.Close() }()
-	// With TLS 1.3 the client sees the rejection only at its first read.
-	if _, err := conn.Read(make([]byte, 1)); err == nil {
-		t.Error("certificate of another CA was accepted")
+	if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: vm\r\n\r\n"); err != nil {
+		return 0, err
+	}
+	// With TLS 1.3 the client sees a rejection only at its first read.
+	first := make([]byte, 1)
+	_, err = conn.Read(first)
+	return first[0], err
+}
+
+// TestPeerPortRejectsCertificateOfAnotherCA sends requests to a VM's peer port. The VM
+// must answer one with a certificate of the fleet's CA. It must reject a certificate of
+// another CA during the TLS handshake, which the client sees as an alert.
+func TestPeerPortRejectsCertificateOfAnotherCA(t *testing.T) {
+	fleetCA, otherCA := newTestCA(t, "fleet"), newTestCA(t, "stranger")
+	f := startFleet(t, 1, fleetCA.configureTLS)
+	if first, err := peerPortResponse(t, f, fleetCA, fleetCA); err != nil || first != 'H' {
+		t.Fatalf("certificate of the fleet's CA: response begins with %q, %v", first, err)
+	}
+	first, err := peerPortResponse(t, f, fleetCA, otherCA)
+	var alert *net.OpError
+	if !errors.As(err, &alert) || alert.Op != "remote error" {
+		t.Errorf("certificate of another CA: response begins with %q, %v, want a TLS alert", first, err)
 	}
 }
--- a/test/faults/orders_test.go
+++ b/test/faults/orders_test.go
@@ -1,6 +1,8 @@
 package faults_test
 
 import (
+	"encoding/json"
+	"slices"
 	"testing"
 	"time"
 
@@ -43,7 +45,15 @@
 // carried out even after the failure of a VM, and without interrupting a report in
 // progress.
 func TestOrdersFollowModelChanges(t *testing.T) {
-	for _, s := range []scenario{
+	for _, s := range orderScenarios {
+		t.Run(s.name, func(t *testing.T) {
+			t.Parallel()
+			runTest(t, s.setOptions, s.run)
+		})
+	}
+}
+
+var orderScenarios = []scenario{
 		{"noneInSteadyState", slowModelLoads, func(env *testEnv) {
 			time.Sleep(10 * time.Minute)
 			if n := env.acceptedOrders(); n != 0 {
@@ -60,24 +70,7 @@
 				env.errorf("%d orders were accepted by %d engines", n, len(env.Engines))
 			}
 		}},
-		{"orderGiverDies", slowModelLoads, func(env *testEnv) {
-			time.Sleep(20 * time.Second)
-			env.VMs[0].Kill()
-			env.network.Crash(env.VMs[0].Host)
-			time.Sleep(time.Second)
-			release := env.VMs[1].Release(env.ctx, wire.ReleaseNote{Id: "m", Changed: &wire.Objects{
-				Services: []wire.Service{{Name: fleet.ServiceReports, Kind: configchain.KindModel, Model: "report-writer-9b"}},
-			}})
-			if release.Status != "accepted" {
-				env.fatalf("%v", release)
-			}
-			time.Sleep(90 * time.Second)
-			for _, vm := range []int{1, 2, 3} {
-				if result := env.stream(10, vm); result.err != nil {
-					env.errorf("VM %d: %v", vm, result.err)
-				}
-			}
-		}},
+		{"orderGiverDies", slowModelLoads, orderGiverDies},
 		{"busyEngineIsDrained", slowModelLoads, func(env *testEnv) {
 			time.Sleep(20 * time.Second)
 			done := make(chan streamResult)
@@ -92,10 +85,49 @@
 				env.errorf("%v", result.err)
 			}
 		}},
-	} {
-		t.Run(s.name, func(t *testing.T) {
-			t.Parallel()
-			runTest(t, s.setOptions, s.run)
-		})
+}
+
+// orderGiver returns the index of the VM that holds the lease for the orders of a data
+// centre, or -1 when there is none.
+func (env *testEnv) orderGiver(dataCentre string) int {
+	value, _, _ := env.Store.Read("leases/orders-" + dataCentre)
+	var found wire.Lease
+	if json.Unmarshal(value, &found) != nil {
+		return -1
+	}
+	return slices.IndexFunc(env.VMs, func(vm *fleet.VM) bool { return vm.Self().Name == found.Holder })
+}
+
+// orderGiverDies kills the VM that holds the lease for orders before the model changes.
+// The other VM of its data centre must take over and give the orders.
+func orderGiverDies(env *testEnv) {
+	time.Sleep(20 * time.Second)
+	first := env.orderGiver("walsall-a-1")
+	if first < 0 {
+		env.fatalf("no VM holds the lease for orders")
+	}
+	env.VMs[first].Kill()
+	env.network.Crash(env.VMs[first].Host)
+	time.Sleep(time.Second)
+	survivors := slices.DeleteFunc([]int{0, 1, 2, 3}, func(vm int) bool { return vm == first })
+	release := env.VMs[survivors[0]].Release(env.ctx, wire.ReleaseNote{Id: "m", Changed: &wire.Objects{
+		Services: []wire.Service{{Name: fleet.ServiceReports, Kind: configchain.KindModel, Model: "report-writer-9b"}},
+	}})
+	if release.Status != "accepted" {
+		env.fatalf("%v", release)
+	}
+	time.Sleep(90 * time.Second)
+	if second := env.orderGiver("walsall-a-1"); second < 0 || second == first {
+		env.errorf("the lease is held by VM %d after VM %d was killed", second, first)
+	}
+	for _, engine := range env.Engines[:2] {
+		if len(engine.Orders()) == 0 {
+			env.errorf("%s got no order after the holder of the lease was killed", engine.Backend.Name)
+		}
+	}
+	for _, vm := range survivors {
+		if result := env.stream(10, vm); result.err != nil {
+			env.errorf("VM %d: %v", vm, result.err)
+		}
 	}
 }
--- a/test/faults/scenario_test.go
+++ b/test/faults/scenario_test.go
@@ -173,19 +173,21 @@
 }
 
 // leavingDuringPlatformOutage checks that reports succeed while the platform is
-// unavailable and an engine reports itself as leaving. The engine must start no
-// generation.
+// unavailable and an engine reports itself as leaving. The engine must get no request
+// for a generation once its report is known: it would refuse one, so that the
+// generations it started would not show the request.
 func leavingDuringPlatformOutage(env *testEnv) {
 	env.SetOutage(true)
 	env.Engines[0].SetFaults(leavingFault)
 	time.Sleep(3 * time.Second)
+	before := env.Engines[0].Requested()
 	for i := range 8 {
 		if result := env.stream(5, i%4); result.err != nil {
 			env.errorf("report %d: %v", i, result.err)
 		}
 	}
-	if n := env.Engines[0].Started(); n != 0 {
-		env.errorf("the leaving engine got %d new generations", n)
+	if n := env.Engines[0].Requested() - before; n != 0 {
+		env.errorf("the leaving engine got %d requests for generations", n)
 	}
 }
 
