internal/replica, internal/ingress: bound bytes that are no answer, tell late copies apart

Cause: a header, interim responses or the body of a skipped response were read without a limit; error bodies of streams were cut at 8 MiB without an error; a response that says that the request did not run was read to its end first. A response without an ID on a connection in use again, and any response to a call without an ID, was taken for the right one, so a late second copy was too.

Change: package readlimit bounds headers (64 KiB, with the interim responses), one body (8 MiB) and all response bodies of a VM (a sixth of its memory, as for request bodies). Responses with the ID of another request are skipped for control calls too; one without an ID on a reused connection is malformed.

--- a/internal/ingress/events.go
+++ b/internal/ingress/events.go
@@ -10,7 +10,8 @@
 	"github.com/rotisserie/eris"
 )
 
-const maxEventBytes = 1 << 20
+// maxEventBytes bounds one event. Each stream may buffer one.
+const maxEventBytes = 256 << 10
 
 var errEventTooLong = eris.New("event too long")
 
--- a/internal/ingress/filters.go
+++ b/internal/ingress/filters.go
@@ -4,17 +4,16 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/go-chi/chi/v5"
-	"github.com/rotisserie/eris"
 
 	"github.com/pimentohinge/pimentohinge/internal/outcome"
 	"github.com/pimentohinge/pimentohinge/internal/problem"
+	"github.com/pimentohinge/pimentohinge/internal/readlimit"
 	"github.com/pimentohinge/pimentohinge/internal/routing"
 	"github.com/pimentohinge/pimentohinge/platform"
 )
@@ -51,7 +50,8 @@
 	service     string
 	workspace   *routing.Workspace
 	body        []byte
-	reservation *bodyReservation
+	// requestMemory and responseMemory are reserved for the bodies; nil if there are none.
+	requestMemory, responseMemory *readlimit.Reservation
 	// deadline is the earlier of the caller's and the route's.
 	deadline time.Time
 	ctx      context.Context // ends at the deadline or when the caller disconnects
@@ -102,7 +102,10 @@
 		w: w, r: r, id: s.lastRequestID.Add(1), params: platform.DecodeRequestHeaders(r.Header), arrived: time.Now(),
 		state: s.catalog.State(),
 	}
-	defer func() { req.reservation.release() }()
+	defer func() {
+		req.requestMemory.Release()
+		req.responseMemory.Release()
+	}()
 	if s.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -228,19 +231,12 @@
 	}
 	rc := http.NewResponseController(req.w)
 	_ = rc.SetReadDeadline(time.Now().Add(min(bodyTimeout, time.Until(req.deadline))))
-	req.reservation = &bodyReservation{server: s}
-	reader := io.Reader(http.MaxBytesReader(req.w, req.r.Body, int64(limit)))
-	if req.r.ContentLength < 0 {
-		reader = io.TeeReader(reader, req.reservation)
-	} else if !req.reservation.reserve(req.r.ContentLength) {
-		req.w.Header().Set("Connection", "close")
-		return refuse(outcome.VMFull, "", shortRetryDelay)
-	}
-	body, err := io.ReadAll(reader)
+	req.requestMemory = s.requestBodies.Reserve()
+	body, err := req.requestMemory.ReadAll(http.MaxBytesReader(req.w, req.r.Body, int64(limit)), req.r.ContentLength, int64(limit))
 	_ = rc.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
-	case errors.Is(err, errBodyMemoryFull):
+	case errors.Is(err, readlimit.ErrBudgetExhausted):
 		req.w.Header().Set("Connection", "close")
 		return refuse(outcome.VMFull, "", shortRetryDelay)
 	case err == nil:
@@ -255,40 +251,6 @@
 	return refuse(outcome.SlowBody, err.Error(), 0)
 }
 
-// bodyReservation is the memory reserved for a request body.
-type bodyReservation struct {
-	server *Server
-	bytes  int64
-}
-
-var errBodyMemoryFull = eris.New("memory for request bodies is exhausted")
-
-// reserve reserves n bytes. It reports false when all bodies together would exceed the
-// limit.
-func (r *bodyReservation) reserve(n int64) bool {
-	if r.server.bodyBytes.Add(n) > r.server.maxBodyBytes {
-		r.server.bodyBytes.Add(-n)
-		return false
-	}
-	r.bytes += n
-	return true
-}
-
-// Write reserves memory for the bytes read so far of a body of unknown length.
-func (r *bodyReservation) Write(b []byte) (int, error) {
-	if !r.reserve(int64(len(b))) {
-		return 0, errBodyMemoryFull
-	}
-	return len(b), nil
-}
-
-// release frees the reservation. r may be nil.
-func (r *bodyReservation) release() {
-	if r != nil {
-		r.server.bodyBytes.Add(-r.bytes)
-	}
-}
-
 // writeRefusal sends a problem document in place of a replica's response.
 func (s *Server) writeRefusal(req *request, out outcome.Result) {
 	status := out.Cause.Status()
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -20,6 +20,7 @@
 	"github.com/pimentohinge/pimentohinge/internal/catalog"
 	"github.com/pimentohinge/pimentohinge/internal/control/dispatch"
 	"github.com/pimentohinge/pimentohinge/internal/network"
+	"github.com/pimentohinge/pimentohinge/internal/readlimit"
 	"github.com/pimentohinge/pimentohinge/internal/replica"
 	"github.com/pimentohinge/pimentohinge/internal/routing"
 	"github.com/pimentohinge/pimentohinge/internal/settings"
@@ -30,7 +31,8 @@
 const (
 	// sweepInterval is the interval at which expired idle connections are closed.
 	sweepInterval = time.Second
-	// bodyMemoryDivisor limits buffered request bodies to one sixth of the VM's memory.
+	// bodyMemoryDivisor limits buffered request bodies to one sixth of the VM's memory,
+	// and buffered response bodies to another sixth.
 	bodyMemoryDivisor = 6
 	// successLinesPerSecond limits the log lines for successful requests; lines for
 	// all other requests are always written.
@@ -72,9 +74,8 @@
 	successLog   *rate.Limiter
 	skippedLines atomic.Int64
 
-	// bodyBytes is the memory reserved for request bodies, at most maxBodyBytes.
-	bodyBytes    atomic.Int64
-	maxBodyBytes int64
+	// requestBodies and responseBodies are the memory for bodies that are buffered.
+	requestBodies, responseBodies *readlimit.Budget
 
 	lastRequestID  atomic.Uint64
 	openRequests   atomic.Int64
@@ -93,10 +94,11 @@
 func New(opts Options) *Server {
 	ctx, cancel := context.WithCancel(context.Background())
 	bounds := opts.Settings.Bounds
+	bodyMemory := int64(opts.Settings.MemoryMb) << 20 / bodyMemoryDivisor
 	s := &Server{
 		opts: opts, log: opts.Log, ctx: ctx, cancel: cancel, pool: replica.New(opts.Network),
 		metrics: newMetrics(), streams: map[uint64]*stream{}, servers: map[string]backend.Server{},
-		maxBodyBytes: int64(opts.Settings.MemoryMb) << 20 / bodyMemoryDivisor,
+		requestBodies: readlimit.New(bodyMemory), responseBodies: readlimit.New(bodyMemory),
 		drains:       map[string]*serverDrain{}, successLog: rate.NewLimiter(successLinesPerSecond, 2*successLinesPerSecond),
 	}
 	core := dispatch.New(dispatch.Options{
--- a/internal/ingress/migration.go
+++ b/internal/ingress/migration.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -17,6 +16,9 @@
 const (
 	// copyTimeout bounds one copy of a KV cache.
 	copyTimeout = 3 * time.Second
+	// maxControlBytes bounds the response to a call to a replica's control interface. The
+	// report of a replica lists its runs.
+	maxControlBytes = 256 << 10
 	// callTimeout bounds all other calls to a replica's control interface.
 	callTimeout = time.Second
 	// copyRetryDelay is the delay before a first copy for which no server had room is
@@ -324,7 +326,9 @@
 		return 0, nil, err
 	}
 	defer resp.Close()
-	body, err := io.ReadAll(io.LimitReader(resp, maxResponseBytes))
+	memory := s.responseBodies.Reserve()
+	defer memory.Release()
+	body, err := memory.ReadAll(resp, resp.ContentLength, maxControlBytes)
 	return resp.Status, body, err
 }
 
--- a/internal/ingress/plain.go
+++ b/internal/ingress/plain.go
@@ -13,6 +13,7 @@
 	"github.com/pimentohinge/pimentohinge/internal/backend"
 	"github.com/pimentohinge/pimentohinge/internal/control/dispatch"
 	"github.com/pimentohinge/pimentohinge/internal/outcome"
+	"github.com/pimentohinge/pimentohinge/internal/readlimit"
 	"github.com/pimentohinge/pimentohinge/internal/replica"
 	"github.com/pimentohinge/pimentohinge/internal/routing"
 	"github.com/pimentohinge/pimentohinge/platform"
@@ -20,6 +21,9 @@
 
 const (
 	maxResponseBytes = 8 << 20
+	// maxDiscardedBytes and discardTimeout bound reading a body of which nothing is used.
+	maxDiscardedBytes = 16 << 10
+	discardTimeout    = 50 * time.Millisecond
 	// maxSends limits the servers that receive one request. maxServersTried limits the
 	// servers that are tried for it, including those that could not be reached.
 	maxSends        = 4
@@ -205,16 +209,20 @@
 	if req.firstByte.IsZero() && !resp.Parsed.NotExecuted {
 		req.firstByte = time.Now()
 	}
-	body, err := io.ReadAll(io.LimitReader(resp, maxResponseBytes+1))
+	if resp.Parsed.NotExecuted && resp.Status != http.StatusBadRequest {
+		discardBody(resp)
+		return attemptResult{response: resp, verdict: dispatch.Shed}
+	}
+	body, err := s.readResponseBody(req, resp)
 	switch {
-	case resp.Parsed.NotExecuted && resp.Status == http.StatusBadRequest:
-		// The request itself is invalid: any other server would refuse it too.
-		return attemptResult{response: resp, body: body, mayHaveRun: true, verdict: dispatch.Served}
-	case resp.Parsed.NotExecuted:
-		return attemptResult{response: resp, body: body, verdict: dispatch.Shed}
+	case errors.Is(err, readlimit.ErrBodyTooLong), errors.Is(err, readlimit.ErrBudgetExhausted):
+		return attemptResult{mayHaveRun: true, verdict: dispatch.Failed, err: eris.Wrap(replica.ErrMalformed, err.Error())}
 	case err != nil:
 		return attemptResult{mayHaveRun: true, verdict: dispatch.Failed, err: err}
-	case len(body) > maxResponseBytes, resp.Parsed.ContentEncoded, resp.Status < 300 && !resp.Parsed.Stamped:
+	case resp.Parsed.NotExecuted:
+		// The request itself is invalid: any other server would refuse it too.
+		return attemptResult{response: resp, body: body, mayHaveRun: true, verdict: dispatch.Served}
+	case resp.Parsed.ContentEncoded, resp.Status < 300 && !resp.Parsed.Stamped:
 		return attemptResult{mayHaveRun: true, verdict: dispatch.Failed, err: replica.ErrMalformed}
 	case resp.Status >= 500:
 		return attemptResult{response: resp, body: body, mayHaveRun: true, verdict: dispatch.Failed}
@@ -222,6 +230,25 @@
 	return attemptResult{response: resp, body: body, mayHaveRun: true, verdict: dispatch.Served}
 }
 
+// readResponseBody reads the whole body of a response into memory that is reserved until
+// the request ends or its next response is read.
+func (s *Server) readResponseBody(req *request, resp *replica.Response) ([]byte, error) {
+	req.responseMemory.Release()
+	req.responseMemory = s.responseBodies.Reserve()
+	length := resp.ContentLength
+	if req.r.Method == http.MethodHead {
+		length = 0
+	}
+	return req.responseMemory.ReadAll(resp, length, maxResponseBytes)
+}
+
+// discardBody reads a short body to its end, so that the connection can be reused.
+func discardBody(resp *replica.Response) {
+	timer := time.AfterFunc(discardTimeout, resp.Close)
+	defer timer.Stop()
+	_, _ = io.CopyN(io.Discard, resp, maxDiscardedBytes)
+}
+
 // finish sends the last response to the caller, or a refusal with the reason why there
 // is none.
 func (s *Server) finish(req *request, last attemptResult, runs int, refusal outcome.Result) outcome.Result {
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -173,13 +173,18 @@
 		return resp, attemptResult{}
 	}
 	defer resp.Close()
-	body, err := io.ReadAll(io.LimitReader(resp, maxResponseBytes))
-	switch {
-	case resp.Parsed.NotExecuted:
-		return nil, attemptResult{response: resp, body: body, verdict: dispatch.Shed}
-	case err != nil, resp.Status < 300:
+	if resp.Parsed.NotExecuted {
+		discardBody(resp)
+		return nil, attemptResult{response: resp, verdict: dispatch.Shed}
+	}
+	if resp.Status < 300 {
+		// No stream, so its body is of no use and may have no end.
 		return nil, attemptResult{mayHaveRun: true, verdict: dispatch.Failed, err: replica.ErrMalformed}
 	}
+	body, err := s.readResponseBody(req, resp)
+	if err != nil {
+		return nil, attemptResult{mayHaveRun: true, verdict: dispatch.Failed, err: eris.Wrap(replica.ErrMalformed, err.Error())}
+	}
 	return nil, attemptResult{response: resp, body: body, mayHaveRun: true, verdict: dispatch.Failed}
 }
 
--- /dev/null
+++ b/internal/readlimit/readlimit.go
@@ -0,0 +1,130 @@
+// Package readlimit bounds the memory that bytes of other processes take: headers,
+// bodies, and all bodies of a process together. A server in trouble may send bytes
+// without end until its connection is closed.
+package readlimit
+
+import (
+	"io"
+	"sync/atomic"
+
+	"github.com/rotisserie/eris"
+)
+
+// Errors of this package.
+var (
+	// ErrHeaderTooLong means that a header exceeded the limit of its Header.
+	ErrHeaderTooLong = eris.New("header too long")
+	// ErrBodyTooLong means that a body exceeded the limit of one body.
+	ErrBodyTooLong = eris.New("body too long")
+	// ErrBudgetExhausted means that all bodies together exceeded their budget.
+	ErrBudgetExhausted = eris.New("memory for bodies is exhausted")
+)
+
+// Header passes on the bytes of R and limits how many are read between Begin and End.
+type Header struct {
+	R io.Reader
+	// left is how many bytes may still be read; it counts only while limited is set.
+	left    int
+	limited bool
+}
+
+// Begin allows at most limit more bytes until End.
+func (h *Header) Begin(limit int) { h.left, h.limited = limit, true }
+
+// End removes the limit.
+func (h *Header) End() { h.limited = false }
+
+// Read reads from R. It returns ErrHeaderTooLong once the limit has been reached.
+func (h *Header) Read(b []byte) (int, error) {
+	if !h.limited {
+		return h.R.Read(b)
+	}
+	if h.left <= 0 {
+		return 0, ErrHeaderTooLong
+	}
+	n, err := h.R.Read(b[:min(len(b), h.left)])
+	h.left -= n
+	return n, err
+}
+
+// Budget is the memory for all bodies that are buffered at the same time. It is safe
+// for concurrent use.
+type Budget struct {
+	limit int64
+	used  atomic.Int64
+}
+
+// New returns a budget of limit bytes.
+func New(limit int64) *Budget { return &Budget{limit: limit} }
+
+// Used returns the number of bytes reserved at present.
+func (b *Budget) Used() int64 { return b.used.Load() }
+
+// Reservation is the part of a budget that one body takes. It is not safe for concurrent
+// use.
+type Reservation struct {
+	budget *Budget
+	bytes  int64
+}
+
+// Reserve returns an empty reservation.
+func (b *Budget) Reserve() *Reservation { return &Reservation{budget: b} }
+
+// Add reserves n more bytes. It reports false when the budget would be exceeded.
+func (r *Reservation) Add(n int64) bool {
+	if r.budget.used.Add(n) > r.budget.limit {
+		r.budget.used.Add(-n)
+		return false
+	}
+	r.bytes += n
+	return true
+}
+
+// Release frees the reservation. r may be nil, and Release may be called again.
+func (r *Reservation) Release() {
+	if r != nil {
+		r.budget.used.Add(-r.bytes)
+		r.bytes = 0
+	}
+}
+
+// readBlock is the size of the blocks in which a body is read and reserved.
+const readBlock = 4 << 10
+
+// ReadAll reads body to its end and reserves its bytes. length is the announced length in
+// bytes, or negative. The error is ErrBodyTooLong for a body of more than limit bytes and
+// ErrBudgetExhausted when the budget does not suffice; the bytes read so far are then
+// returned too.
+func (r *Reservation) ReadAll(body io.Reader, length, limit int64) ([]byte, error) {
+	var out []byte
+	if length > limit {
+		return nil, ErrBodyTooLong
+	}
+	if length >= 0 {
+		// One byte more, so that the end is found without another block.
+		if !r.Add(length + 1) {
+			return nil, ErrBudgetExhausted
+		}
+		out = make([]byte, 0, length+1)
+	}
+	for {
+		if len(out) == cap(out) {
+			grown := max(readBlock, 2*cap(out))
+			if !r.Add(int64(grown - cap(out))) {
+				return out, ErrBudgetExhausted
+			}
+			out = append(make([]byte, 0, grown), out...)
+		}
+		n, err := body.Read(out[len(out):cap(out)])
+		out = out[:len(out)+n]
+		if int64(len(out)) > limit {
+			return out, ErrBodyTooLong
+		}
+		if err == io.EOF {
+			return out, nil
+		}
+		if err != nil {
+			return out, err
+		}
+	}
+}
--- /dev/null
+++ b/internal/readlimit/readlimit_test.go
@@ -0,0 +1,75 @@
+package readlimit_test
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/pimentohinge/pimentohinge/internal/readlimit"
+)
+
+// endless is a body without end.
+type endless struct{}
+
+func (endless) Read(b []byte) (int, error) {
+	for i := range b {
+		b[i] = 'x'
+	}
+	return len(b), nil
+}
+
+func TestHeaderEndsAtItsLimit(t *testing.T) {
+	header := &readlimit.Header{R: endless{}}
+	header.Begin(10_000)
+	line, err := bufio.NewReader(header).ReadString('\n')
+	if !errors.Is(err, readlimit.ErrHeaderTooLong) || len(line) != 10_000 {
+		t.Errorf("read %d bytes, error %v", len(line), err)
+	}
+	header.End()
+	if n, err := io.ReadFull(header, make([]byte, 20_000)); err != nil {
+		t.Errorf("read %d bytes after the header, error %v", n, err)
+	}
+}
+
+func TestReadAllKeepsItsLimits(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		body   io.Reader
+		announced, budget int64
+		length int
+		err    error
+	}{
+		{"whole", strings.NewReader(strings.Repeat("x", 9000)), -1, 1 << 20, 9000, nil},
+		{"announced", strings.NewReader(strings.Repeat("x", 9000)), 9000, 9001, 9000, nil},
+		{"longerThanAnnounced", strings.NewReader(strings.Repeat("x", 9000)), 100, 1 << 20, 9000, nil},
+		{"empty", strings.NewReader(""), -1, 1 << 20, 0, nil},
+		{"byteByByte", iotest.OneByteReader(strings.NewReader(strings.Repeat("x", 9000))), -1, 1 << 20, 9000, nil},
+		{"endless", endless{}, -1, 1 << 20, 0, readlimit.ErrBodyTooLong},
+		{"announcedTooLong", endless{}, 1 << 40, 1 << 20, 0, readlimit.ErrBodyTooLong},
+		{"budget", endless{}, -1, 20 << 10, 0, readlimit.ErrBudgetExhausted},
+		{"announcedBeyondBudget", endless{}, 30 << 10, 20 << 10, 0, readlimit.ErrBudgetExhausted},
+		{"broken", iotest.ErrReader(io.ErrUnexpectedEOF), -1, 1 << 20, 0, io.ErrUnexpectedEOF},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			budget := readlimit.New(c.budget)
+			reservation := budget.Reserve()
+			body, err := reservation.ReadAll(c.body, c.announced, 64<<10)
+			if !errors.Is(err, c.err) || c.err == nil && len(body) != c.length {
+				t.Errorf("read %d bytes, error %v", len(body), err)
+			}
+			if budget.Used() > c.budget || budget.Used() < int64(len(body)) {
+				t.Errorf("%d bytes reserved for %d, budget %d", budget.Used(), len(body), c.budget)
+			}
+			reservation.Release()
+			reservation.Release()
+			if diff := cmp.Diff(int64(0), budget.Used()); diff != "" {
+				t.Errorf("after the release (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/replica/conn.go
+++ b/internal/replica/conn.go
@@ -5,6 +5,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"github.com/pimentohinge/pimentohinge/internal/readlimit"
 )
 
 const (
@@ -20,14 +22,19 @@
 // conn is one connection to a replica. It carries one request at a time.
 type conn struct {
 	net.Conn
+	// header limits the bytes that reader reads while it reads a header.
+	header *readlimit.Header
 	reader *bufio.Reader
+	// reused is set when the connection has carried an earlier request.
+	reused bool
 	// reusableUntil is when the connection must no longer be reused. The zero time
 	// means that it must not be reused at all.
 	reusableUntil time.Time
 }
 
 func newConn(c net.Conn) *conn {
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferBytes)}
+	header := &readlimit.Header{R: c}
+	return &conn{Conn: c, header: header, reader: bufio.NewReaderSize(header, readBufferBytes)}
 }
 
 // reuseDeadline returns the time until which an idle connection may be reused. A
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -22,6 +22,11 @@
 	// maxSkippedResponses limits the responses to other requests that are skipped
 	// while waiting for the response to a request.
 	maxSkippedResponses = 2
+	// maxSkippedBytes limits the body of a skipped response.
+	maxSkippedBytes = 64 << 10
+	// maxHeaderBytes limits the header of a response, together with the interim responses
+	// before it.
+	maxHeaderBytes = 64 << 10
 	maxIdlePerServer    = 32
 	// writeEndTimeout bounds the wait until a request has been written whose response
 	// is already complete.
@@ -162,6 +167,7 @@
 
 func (p *Pool) connect(ctx context.Context, address string) (*conn, error) {
 	if c := p.takeIdle(address, time.Now()); c != nil {
+		c.reused = true
 		return c, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
@@ -221,7 +227,11 @@
 			return nil, err
 		}
 		parsed := platform.DecodeResponseHeaders(resp)
-		if parsed.AttemptID == "" || req.AttemptID == "" || parsed.AttemptID == req.AttemptID {
+		if parsed.AttemptID == "" && req.AttemptID != "" && x.conn.reused {
+			// It may be a late second copy of an earlier response.
+			return nil, eris.Wrap(ErrMalformed, "response without an ID on a reused connection")
+		}
+		if parsed.AttemptID == "" || parsed.AttemptID == req.AttemptID {
 			// After a skipped response more may follow, so the connection is not reused.
 			resp.Close = resp.Close || skipped
 			return &Response{
@@ -230,7 +240,10 @@
 			}, nil
 		}
 		skipped = true
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		switch n, err := io.CopyN(io.Discard, resp.Body, maxSkippedBytes); {
+		case n == maxSkippedBytes:
+			return nil, eris.Wrap(ErrMalformed, "long response to another request")
+		case err != io.EOF:
 			return nil, eris.Wrapf(ErrNoResponse, "skip response to another request: %v", err)
 		}
 	}
@@ -247,7 +260,10 @@
 	return x
 }
 
+// readHeader reads the header of the next response that is not an interim one.
 func (x *exchange) readHeader(method string) (*http.Response, error) {
+	x.conn.header.Begin(maxHeaderBytes)
+	defer x.conn.header.End()
 	for {
 		if _, err := x.conn.reader.Peek(1); err != nil {
 			return nil, eris.Wrapf(ErrNoResponse, "read: %v", err)
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -179,6 +179,107 @@
 	}
 }
 
+// respondTwice responds to each request on a connection and sends the same response once
+// more when the next request has arrived.
+func respondTwice(response func(id string) string) func(int64, net.Conn, *bufio.Reader) {
+	return func(_ int64, c net.Conn, r *bufio.Reader) {
+		previous := ""
+		for {
+			req, ok := readRequest(r)
+			if !ok {
+				return
+			}
+			next := response(req.Header.Get("X-Pimentohinge-Attempt-Id"))
+			_, _ = io.WriteString(c, previous+next)
+			previous = next
+		}
+	}
+}
+
+// TestLateSecondCopyIsNotTheNextResponse sends each response once more after the
+// connection is in use again. The copy must not be taken for the response to the next
+// request, whether it carries the ID of its request or none, and also not if that next
+// request itself has no ID.
+func TestLateSecondCopyIsNotTheNextResponse(t *testing.T) {
+	withID := func(id string) string { return okResponse(id, "of "+id) }
+	withoutID := func(id string) string {
+		return "HTTP/1.1 200 OK\r\nX-Pimentohinge-Response-Stamp: s\r\nContent-Length: 4\r\n\r\nof " + id
+	}
+	for _, c := range []struct {
+		name     string
+		response func(id string) string
+		next     string
+		// body and err are the result of the second request.
+		body string
+		err  error
+	}{
+		{"copyWithID", withID, "b", "of b", nil},
+		{"copyWithoutID", withoutID, "b", "", replica.ErrMalformed},
+		{"copyBeforeControlCall", withID, "", "of ", nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			server := startReplica(t, respondTwice(c.response))
+			pool := replica.New(network.TCP{})
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			for i, id := range []string{"a", c.next} {
+				resp, err := pool.Send(ctx, server.address, request(id, ""))
+				body := []byte(nil)
+				if err == nil {
+					body, err = io.ReadAll(resp)
+					resp.Close()
+				}
+				want, wantErr := "of a", error(nil)
+				if i > 0 {
+					want, wantErr = c.body, c.err
+				}
+				if !errors.Is(err, wantErr) || string(body) != want {
+					t.Fatalf("request %q got %q, error %v, want %q, %v", id, body, err, want, wantErr)
+				}
+			}
+		})
+	}
+}
+
+// TestResponsesWithoutEnd sends bytes without end in each part of a response. The error
+// must come after a bounded number of bytes, and the connection must be closed.
+func TestResponsesWithoutEnd(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n"
+	for _, c := range []struct {
+		name, start, repeated string
+	}{
+		{"statusLine", "HTTP/1.1 200 ", "x"},
+		{"headerLine", head + "X-Name: ", "x"},
+		{"headers", head, "X-Name: value\r\n"},
+		{"interimResponses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+		{"bodyOfOtherRequest", head + "X-Pimentohinge-Attempt-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n"},
+		{"chunkSize", head + "X-Pimentohinge-Attempt-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			sent := make(chan int, 1)
+			server := startReplica(t, func(_ int64, conn net.Conn, r *bufio.Reader) {
+				if _, ok := readRequest(r); !ok {
+					return
+				}
+				total, block := 0, []byte(strings.Repeat(c.repeated, 4096/len(c.repeated)))
+				n, err := io.WriteString(conn, c.start)
+				for total = n; err == nil; total += n {
+					n, err = conn.Write(block)
+				}
+				sent <- total
+			})
+			if _, err := sendBody(t, replica.New(network.TCP{}), server, ""); err == nil || errors.Is(err, replica.ErrNotSent) {
+				t.Errorf("error %v", err)
+			}
+			// The operating system buffers some megabytes on both sides.
+			const buffered = 16 << 20
+			if n := <-sent; n > buffered {
+				t.Errorf("the replica could send %d bytes", n)
+			}
+		})
+	}
+}
+
 // TestConnectionWithUnrequestedBytesIsClosed sends bytes that belong to no request on
 // an idle connection, which must not be reused.
 func TestConnectionWithUnrequestedBytesIsClosed(t *testing.T) {
