--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -53,6 +53,15 @@
 	// CloseDelimited sends a complete response without Content-Length, which ends
 	// with the connection.
 	CloseDelimited
+	// SendsEndlessHeader sends a header line without end until the connection is closed.
+	SendsEndlessHeader
+	// SendsEndlessBody sends a body without end until the connection is closed.
+	SendsEndlessBody
+	// SendsEndlessEvent sends an event stream whose first event has no end, until the
+	// connection is closed.
+	SendsEndlessEvent
+	// DripsEndlessEvent is SendsEndlessEvent with one byte per second.
+	DripsEndlessEvent
 )
 
 // Options describes a replica.
@@ -268,6 +277,14 @@
 		_, _ = io.WriteString(conn, response[:len(response)-3])
 	case SendsMalformed:
 		_, _ = io.WriteString(conn, "\x00\x01 no answer\r\n\r\n")
+	case SendsEndlessHeader:
+		sendEndless(conn, "HTTP/1.1 200 OK\r\nX-Name: ", endlessBlock, 0)
+	case SendsEndlessBody:
+		sendEndless(conn, fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Pimentohinge-Attempt-Id: %s\r\nX-Pimentohinge-Response-Stamp: s\r\n\r\n", attempt), endlessBlock, 0)
+	case SendsEndlessEvent:
+		sendEndless(conn, endlessEventStart(attempt), endlessBlock, 0)
+	case DripsEndlessEvent:
+		sendEndless(conn, endlessEventStart(attempt), 1, time.Second)
 	case CloseDelimited:
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Pimentohinge-Attempt-Id: %s\r\nX-Pimentohinge-Response-Stamp: s\r\n\r\n%s", attempt, body)
 	case SendsExtraResponse:
@@ -277,6 +294,25 @@
 	_ = conn.Close()
 }
 
+// endlessBlock is the number of bytes in one write of a response without end.
+const endlessBlock = 4096
+
+func endlessEventStart(attempt string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Pimentohinge-Attempt-Id: %s\r\n"+
+		"X-Pimentohinge-Response-Stamp: s\r\n\r\nid: 1\ndata: ", attempt)
+}
+
+// sendEndless sends start and then blocks of the given size, with a pause before each,
+// until the connection is closed.
+func sendEndless(conn net.Conn, start string, size int, pause time.Duration) {
+	_, err := io.WriteString(conn, start)
+	block := []byte(strings.Repeat("x", size))
+	for err == nil {
+		time.Sleep(pause)
+		_, err = conn.Write(block)
+	}
+}
+
 // sendExtra sends a response and, 5 ms later, an unrequested one. It keeps the
 // connection open and serves later requests on it correctly.
 func (r *Replica) sendExtra(conn net.Conn, response, extra string, format func(id, text string) string) {
@@ -308,6 +344,11 @@
 		maxTokens, _ := strconv.Atoi(usage[1])
 		total = max(1, maxTokens/engine.EventTokens)
 	}
+	if fault >= SendsEndlessHeader {
+		r.cluster.recordEnd(r.cluster.recordStart(run), 0)
+		r.writeRaw(w, run.Attempt, "", fault)
+		return
+	}
 	first, toPrefill := 1, prompt
 	if from := req.Header.Get("Kv-From"); from != "" {
 		_, handle, _ := strings.Cut(from, "/")
--- a/test/gateway/plain_test.go
+++ b/test/gateway/plain_test.go
@@ -53,6 +53,10 @@
 		{"safeHangs", upstream.Hangs, "/safe/", 200, 2, true},
 		{"safeExtra", upstream.SendsExtraResponse, "/safe/", 200, 1, false},
 		{"safeUnframed", upstream.CloseDelimited, "/safe/", 200, 1, false},
+		{"safeEndlessHeader", upstream.SendsEndlessHeader, "/safe/", 200, 2, true},
+		{"safeEndlessBody", upstream.SendsEndlessBody, "/safe/", 200, 2, true},
+		{"unsafeEndlessHeader", upstream.SendsEndlessHeader, "/unsafe/", 502, 1, false},
+		{"unsafeEndlessBody", upstream.SendsEndlessBody, "/unsafe/", 502, 1, false},
 		{"unsafeFails", upstream.InternalError, "/unsafe/", 500, 1, false},
 		{"unsafeSheds", upstream.Overloaded, "/unsafe/", 200, 1, true},
 		{"unsafeLosesAnswer", upstream.DropsResponse, "/unsafe/", 502, 1, false},
@@ -241,3 +245,26 @@
 		}
 	})
 }
+
+// TestEndlessResponsesShareMemory answers 40 requests at once with bodies without end. All
+// must end with an error, and while they are read a request to another replica is served.
+func TestEndlessResponsesShareMemory(t *testing.T) {
+	runTest(t, func(t *testing.T, env *testEnv) {
+		env.startPlain("p-1", everyRequest(upstream.SendsEndlessBody))
+		var wg sync.WaitGroup
+		for i := range 40 {
+			wg.Go(func() {
+				began := time.Now()
+				resp := env.call(t.Context(), http.MethodGet, "/unsafe/x", fmt.Sprintf("a%d", i), nil)
+				if resp.err != nil || resp.status != http.StatusBadGateway || time.Since(began) > 1600*time.Millisecond {
+					t.Errorf("status %d after %v, %v", resp.status, time.Since(began), resp.err)
+				}
+			})
+		}
+		wg.Wait()
+		env.startPlain("p-2", nil)
+		if resp := env.call(t.Context(), http.MethodGet, "/safe/x", "b", nil); resp.status != http.StatusOK {
+			t.Errorf("after the responses without end: status %d, %v", resp.status, resp.err)
+		}
+	})
+}
--- a/test/gateway/stream_test.go
+++ b/test/gateway/stream_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/pimentohinge/pimentohinge/internal/network"
 	"github.com/pimentohinge/pimentohinge/internal/standin/store"
+	"github.com/pimentohinge/pimentohinge/internal/standin/upstream"
 )
 
 // maxPause is the longest pause between events that callers of streams accept.
@@ -264,3 +265,49 @@
 		}
 	})
 }
+
+// TestStreamsWithoutEnd sends events without end to a caller's stream, fast and one byte
+// a second. The caller must get no part of the event, and the request must end: at the
+// bound on events in the first case, at the caller's deadline in the second.
+func TestStreamsWithoutEnd(t *testing.T) {
+	const deadline = 39 * time.Second
+	for _, c := range []struct {
+		name     string
+		fault    upstream.Fault
+		min, max time.Duration
+	}{
+		{"fast", upstream.SendsEndlessEvent, 0, time.Second},
+		{"drips", upstream.DripsEndlessEvent, deadline - time.Second, deadline + time.Second},
+		{"header", upstream.SendsEndlessHeader, 0, time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runTest(t, func(t *testing.T, env *testEnv) {
+				env.startReplica("e-1", "engine", "a", &upstream.Engine{
+					CapacityTokens: 34000, EventTokens: 4, EventInterval: 30 * time.Millisecond, PromptTokensPerMs: 14, CopyTokensPerMs: 18,
+				}, everyRequest(c.fault))
+				began := time.Now()
+				resp := env.stream(t.Context(), "s0", 10)
+				if took := time.Since(began); took < c.min || took > c.max {
+					t.Errorf("ended after %v, want %v to %v", took, c.min, c.max)
+				}
+				if len(resp.events) != 0 || resp.err == nil && resp.status < http.StatusInternalServerError {
+					t.Errorf("status %d, %d events, %v: want a failure", resp.status, len(resp.events), resp.err)
+				}
+				if runs := env.upstreams.Runs("s0"); len(runs) != 1 {
+					t.Errorf("the request ran %d times", len(runs))
+				}
+			})
+		})
+	}
+}
+
+// TestSlowStreamIsNotCut streams events with 3 s between them, longer than any pause that
+// counts as on time. The stream must be complete.
+func TestSlowStreamIsNotCut(t *testing.T) {
+	runTest(t, func(t *testing.T, env *testEnv) {
+		env.startReplica("e-1", "engine", "a", &upstream.Engine{
+			CapacityTokens: 34000, EventTokens: 4, EventInterval: 3 * time.Second, PromptTokensPerMs: 14, CopyTokensPerMs: 18,
+		}, nil)
+		env.requireComplete(env.stream(t.Context(), "s0", 10), 10)
+	})
+}
