serve: deliver whole answers only, keep the truth about claims and tickets

Cause: package service and pkg/client cut a body at 16 MiB without an error; a late second copy on a connection in use again became the answer to the next call; engine headers and events had no bound; a claim's body over 64 KiB was replayed empty; a released claim refused another request for 24 h; a spent ticket's repeat was told 'not spent' from 10 minutes after its expiry on.

Change: too long a body ends the call as unknown (brokenAnswer) or ErrTooLong; calls to plain services, orders and cancels use a connection of their own; bounds on headers and events; claims say answerOmitted (new optional field) and the repeat gets 409 responseNotStored; a released key is free; ticketExpired for tickets whose record is gone.

--- a/internal/caller/plain.go
+++ b/internal/caller/plain.go
@@ -147,7 +147,10 @@
 	holder := "attempt " + record.Claim.Attempt + " by " + record.Claim.Vm
 	switch result {
 	case claim.Replayed:
-		status, contentType, body := claim.DecodeResponse(record.Claim)
+		status, contentType, body, ok := claim.DecodeResponse(record.Claim)
+		if !ok {
+			return outcome.Result{Kind: outcome.Interrupted, Cause: outcome.ResponseNotStored, Detail: holder}, false
+		}
 		req.w.Header().Set("Idempotent-Replayed", "true")
 		return writeResponse(req, service.Response{Status: status, ContentType: contentType, Body: body})
 	case claim.KeyReused:
@@ -233,6 +236,8 @@
 		return service.Response{}, outcome.Result{Kind: outcome.Unknown, Cause: outcome.TicketSpent}, false
 	case ticket.IssuerRestarted, ticket.OtherIssuer:
 		return service.Response{}, outcome.Result{Kind: outcome.Unknown, Cause: outcome.IssuerGone, Detail: opened.VM}, false
+	case ticket.Forgotten:
+		return service.Response{}, outcome.Result{Kind: outcome.Unknown, Cause: outcome.TicketExpired}, false
 	case ticket.Expired:
 		return service.Response{}, outcome.Refuse(outcome.BadRequest, "the ticket has expired and was not spent"), false
 	}
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -175,14 +175,15 @@
 // resolve returns the result for a claim that another attempt holds. takeOver is
 // true when this attempt may replace the claim.
 func (c *Claims) resolve(existing wire.Claim, attempt Attempt) (result Result, takeOver bool) {
+	if existing.State == StateReleased {
+		// Nothing was sent under the key, so any request may use it.
+		return 0, true
+	}
 	if existing.BodyHash != attempt.BodyHash {
 		return KeyReused, false
 	}
-	switch existing.State {
-	case StateFinished:
+	if existing.State == StateFinished {
 		return Replayed, false
-	case StateReleased:
-		return 0, true
 	}
 	if existing.Vm == c.vm && existing.Incarnation == c.incarnation && c.wasAbandoned(existing.Attempt) {
 		return 0, true
@@ -245,13 +246,16 @@
 }
 
 // Finish stores the response for repeated requests with the key. A body of more
-// than MaxResponseBytes is left out.
+// than MaxResponseBytes is omitted.
 func (c *Claims) Finish(ctx context.Context, record Record, status int, contentType string, body []byte) {
 	record.Claim.State = StateFinished
 	record.Claim.Status = status
 	record.Claim.ContentType = contentType
 	if len(body) <= MaxResponseBytes {
 		record.Claim.Answer = base64.StdEncoding.EncodeToString(body)
+	} else {
+		omitted := true
+		record.Claim.AnswerOmitted = &omitted
 	}
 	c.settle(ctx, record)
 }
@@ -276,11 +280,10 @@
 	}
 }
 
-// DecodeResponse decodes the stored response of a finished claim.
-func DecodeResponse(finished wire.Claim) (status int, contentType string, body []byte) {
+// DecodeResponse decodes the stored response of a finished claim. It reports false if
+// the body was not stored or is damaged.
+func DecodeResponse(finished wire.Claim) (status int, contentType string, body []byte, ok bool) {
+	omitted := finished.AnswerOmitted != nil && *finished.AnswerOmitted
 	body, err := base64.StdEncoding.DecodeString(finished.Answer)
-	if err != nil {
-		return finished.Status, finished.ContentType, nil
-	}
-	return finished.Status, finished.ContentType, body
+	return finished.Status, finished.ContentType, body, err == nil && !omitted
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -18,6 +18,7 @@
 
 	"github.com/pimentohinge/pimentohinge/internal/network"
 	"github.com/pimentohinge/pimentohinge/internal/outcome"
+	"github.com/pimentohinge/pimentohinge/internal/readlimit"
 	"github.com/pimentohinge/pimentohinge/pkg/wire"
 )
 
@@ -26,6 +27,8 @@
 	dialTimeout     = time.Second
 	maxBodyBytes    = 1 << 20
 	connBufferBytes = 1024
+	// maxHeaderBytes limits the header of a response.
+	maxHeaderBytes = 64 << 10
 )
 
 // Client calls engines. It is safe for concurrent use.
@@ -93,7 +96,10 @@
 	if err := req.Write(conn); err != nil {
 		return nil, eris.Wrap(err, "write request")
 	}
-	resp, err := http.ReadResponse(bufio.NewReaderSize(conn, connBufferBytes), req)
+	header := &readlimit.Header{R: conn}
+	header.Begin(maxHeaderBytes)
+	defer header.End()
+	resp, err := http.ReadResponse(bufio.NewReaderSize(header, connBufferBytes), req)
 	return resp, eris.Wrap(err, "read response")
 }
 
@@ -124,6 +130,8 @@
 	if err != nil {
 		return false
 	}
+	// A late second copy of another response must not count as the confirmation.
+	req.Close = true
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return false
@@ -178,6 +186,8 @@
 	if err != nil {
 		return false, 0
 	}
+	// A late second copy of another response must not count as the acceptance of an order.
+	req.Close = true
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return false, 0
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -94,6 +94,58 @@
 	}
 }
 
+// endlessNetwork sends start and then repeats a text on every connection until it is
+// closed. It counts the bytes sent.
+type endlessNetwork struct {
+	start, repeated string
+	sent            chan int
+}
+
+func (endlessNetwork) Listen(string) (net.Listener, error) { return nil, net.ErrClosed }
+
+func (n endlessNetwork) Dial(context.Context, string) (net.Conn, error) {
+	near, far := net.Pipe()
+	go func() { _, _ = io.Copy(io.Discard, far) }()
+	go func() {
+		total, err := io.WriteString(far, n.start)
+		for err == nil {
+			var sent int
+			sent, err = io.WriteString(far, n.repeated)
+			total += sent
+		}
+		n.sent <- total
+	}()
+	return near, nil
+}
+
+// TestStreamsWithoutEnd sends bytes without end in a header, a line and an event. The
+// stream must end, and the connection must be closed, after a bounded number of bytes.
+func TestStreamsWithoutEnd(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+	for _, tc := range []struct{ name, start, repeated string }{
+		{"header", "HTTP/1.1 200 OK\r\nX-Name: ", strings.Repeat("x", 1024)},
+		{"line", head + "data: ", strings.Repeat("x", 1024)},
+		{"event", head, "data: x\n"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			endless := endlessNetwork{start: tc.start, repeated: tc.repeated, sent: make(chan int, 1)}
+			s, cause, mayHaveRun := engine.New(endless).Start(t.Context(), "10.0.0.1:1", wire.GenerateRequest{Generation: "g"}, 5*time.Second)
+			if s != nil {
+				_, end, ok := s.Next()
+				s.Close()
+				cause, mayHaveRun = end.Cause, !ok
+			}
+			if cause != outcome.EngineLost || !mayHaveRun {
+				t.Errorf("cause %q, may have run %v, want %q, true", cause, mayHaveRun, outcome.EngineLost)
+			}
+			const limit = 256 << 10
+			if sent := <-endless.sent; sent > limit {
+				t.Errorf("the engine could send %d bytes, want at most %d", sent, limit)
+			}
+		})
+	}
+}
+
 func FuzzStream(f *testing.F) {
 	f.Add(tokenEvents(0, 1) + endAfterTwoTokens)
 	f.Add(tokenEvents(0, 2))
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -20,8 +20,10 @@
 	// readBufferBytes is small because there are many streams, and the connection
 	// has a read buffer as well.
 	readBufferBytes = 512
-	// maxLineBytes limits the length of one line of a stream.
-	maxLineBytes = 64 << 10
+	// maxLineBytes limits the length of one line of a stream, maxEventLines the lines of
+	// one event.
+	maxLineBytes  = 64 << 10
+	maxEventLines = 16
 )
 
 var (
@@ -128,11 +130,12 @@
 	return outcome.EngineLost
 }
 
-// read reads the next event into e. Its slices are valid until the next call.
+// read reads the next event into e. Its slices are valid until the next call. It reports
+// false at the end of the stream and for an event that is too long.
 func (s *Stream) read(e *event) bool {
 	*e = event{}
 	s.fieldBuf = s.fieldBuf[:0]
-	for {
+	for range maxEventLines {
 		line, ok := s.line()
 		if !ok {
 			return false
@@ -148,6 +151,7 @@
 			e.kind = s.copyField(line[len(eventField):])
 		}
 	}
+	return false
 }
 
 // line returns the next line without its line ending. It is valid until the next
--- a/internal/ingress/filters.go
+++ b/internal/ingress/filters.go
@@ -45,11 +45,11 @@
 	params  platform.RequestHeaders
 	arrived time.Time
 	// The fields below are set before the request is sent to a server.
-	state       *routing.State
-	route       routing.Route
-	service     string
-	workspace   *routing.Workspace
-	body        []byte
+	state     *routing.State
+	route     routing.Route
+	service   string
+	workspace *routing.Workspace
+	body      []byte
 	// requestMemory and responseMemory are reserved for the bodies; nil if there are none.
 	requestMemory, responseMemory *readlimit.Reservation
 	// deadline is the earlier of the caller's and the route's.
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -99,7 +99,7 @@
 		opts: opts, log: opts.Log, ctx: ctx, cancel: cancel, pool: replica.New(opts.Network),
 		metrics: newMetrics(), streams: map[uint64]*stream{}, servers: map[string]backend.Server{},
 		requestBodies: readlimit.New(bodyMemory), responseBodies: readlimit.New(bodyMemory),
-		drains:       map[string]*serverDrain{}, successLog: rate.NewLimiter(successLinesPerSecond, 2*successLinesPerSecond),
+		drains: map[string]*serverDrain{}, successLog: rate.NewLimiter(successLinesPerSecond, 2*successLinesPerSecond),
 	}
 	core := dispatch.New(dispatch.Options{
 		VM: opts.Settings.VM.Name, DataCentre: opts.Settings.VM.DataCentre, Regions: opts.Settings.DataCentres,
--- a/internal/network/network.go
+++ b/internal/network/network.go
@@ -23,6 +23,8 @@
 	bufferBytes    = 1024 // small, because many streams are open at once
 	maxIdlePerHost = 64
 	idleTimeout    = 30 * time.Second
+	// maxHeaderBytes limits the header of a response.
+	maxHeaderBytes = 64 << 10
 )
 
 // TCP is the operating system's TCP network.
@@ -56,7 +58,7 @@
 			},
 			MaxIdleConnsPerHost: maxIdlePerHost, IdleConnTimeout: idleTimeout,
 			ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes,
-			DisableCompression: true,
+			DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -19,8 +19,8 @@
 	NotRun Kind = "notRun"
 	// Unknown means that it is not known whether the request ran.
 	Unknown Kind = "unknown"
-	// Interrupted means that only a part of the generated output was delivered, all
-	// of it from one generation.
+	// Interrupted means that the request ran and only a part of its output, or nothing,
+	// was delivered. A part is from one generation.
 	Interrupted Kind = "interrupted"
 )
 
@@ -56,7 +56,9 @@
 	ClaimTaken          Cause = "claimTaken"
 	HolderLost          Cause = "holderLost"
 	KeyReused           Cause = "keyReused"
+	ResponseNotStored   Cause = "responseNotStored"
 	TicketSpent         Cause = "ticketSpent"
+	TicketExpired       Cause = "ticketExpired"
 	IssuerGone          Cause = "issuerGone"
 	ServiceLost         Cause = "serviceLost"
 	VMStopping          Cause = "vmStopping"
@@ -126,6 +128,8 @@
 	ClaimTaken:          {http.StatusConflict, "Another attempt with the same key is running."},
 	HolderLost:          {http.StatusConflict, "The attempt that claimed the key ended without a recorded answer and may have run."},
 	KeyReused:           {http.StatusUnprocessableEntity, "The key was used before with a different request."},
+	ResponseNotStored:   {http.StatusConflict, "The call ran before, and its answer was too long to be stored."},
+	TicketExpired:       {http.StatusConflict, "The ticket expired so long ago that the VM no longer knows whether it was spent."},
 	TicketSpent:         {http.StatusConflict, "The ticket was spent before."},
 	IssuerGone:          {http.StatusConflict, "The VM that issued the ticket is gone, so the call may have run."},
 	ServiceLost:         {http.StatusBadGateway, "The service died or could not be reached."},
--- a/internal/readlimit/readlimit_test.go
+++ b/internal/readlimit/readlimit_test.go
@@ -38,11 +38,11 @@
 
 func TestReadAllKeepsItsLimits(t *testing.T) {
 	for _, c := range []struct {
-		name   string
-		body   io.Reader
+		name              string
+		body              io.Reader
 		announced, budget int64
-		length int
-		err    error
+		length            int
+		err               error
 	}{
 		{"whole", strings.NewReader(strings.Repeat("x", 9000)), -1, 1 << 20, 9000, nil},
 		{"announced", strings.NewReader(strings.Repeat("x", 9000)), 9000, 9001, 9000, nil},
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -26,8 +26,8 @@
 	maxSkippedBytes = 64 << 10
 	// maxHeaderBytes limits the header of a response, together with the interim responses
 	// before it.
-	maxHeaderBytes = 64 << 10
-	maxIdlePerServer    = 32
+	maxHeaderBytes   = 64 << 10
+	maxIdlePerServer = 32
 	// writeEndTimeout bounds the wait until a request has been written whose response
 	// is already complete.
 	writeEndTimeout = 10 * time.Millisecond
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -14,10 +15,15 @@
 
 	"github.com/pimentohinge/pimentohinge/internal/mutation"
 	"github.com/pimentohinge/pimentohinge/internal/outcome"
+	"github.com/pimentohinge/pimentohinge/internal/readlimit"
 )
 
-// MaxResponseBytes is the length at which a response body is cut off.
-const MaxResponseBytes = 16 << 20
+const (
+	// MaxResponseBytes is the longest body of a response. A longer one is not delivered.
+	MaxResponseBytes = 16 << 20
+	// maxBufferedBytes limits the bodies that are being read at the same time.
+	maxBufferedBytes = 64 << 20
+)
 
 // Timeout limits one call, including the response.
 const Timeout = 30 * time.Second
@@ -46,15 +52,20 @@
 	Status int
 	// ContentType is the media type of Body.
 	ContentType string
-	// Body is the body, cut off at MaxResponseBytes.
+	// Body is the complete body.
 	Body []byte
 }
 
 // Client calls plain services. It is safe for concurrent use.
-type Client struct{ http *http.Client }
+type Client struct {
+	http   *http.Client
+	bodies *readlimit.Budget
+}
 
 // New returns a client that sends its requests through h.
-func New(h *http.Client) *Client { return &Client{http: h} }
+func New(h *http.Client) *Client {
+	return &Client{http: h, bodies: readlimit.New(maxBufferedBytes)}
+}
 
 // Do makes one attempt at a call. The Kind of the result is Finished when there is
 // a response, NotRun when no connection was obtained and so no byte was sent, and
@@ -74,9 +85,13 @@
 	// http.Transport retries a request on its own when it has an idempotency key
 	// and no body, or when GetBody can supply the body again. A non-nil body
 	// without GetBody rules out both.
+	//
+	// A second copy of a response, sent late on a connection in use again, would be
+	// taken for the response to the next call, so connections are not reused.
 	if !mutation.Enabled(mutation.TransportRetries) {
 		req.Body = io.NopCloser(bytes.NewReader(call.Body))
 		req.GetBody = nil
+		req.Close = true
 	}
 	if call.ContentType != "" {
 		req.Header.Set("Content-Type", call.ContentType)
@@ -90,7 +105,16 @@
 		return Response{}, failureOutcome(connected.Load(), err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxResponseBytes))
+	memory := c.bodies.Reserve()
+	defer memory.Release()
+	length := resp.ContentLength
+	if call.Method == http.MethodHead {
+		length = 0
+	}
+	body, err := memory.ReadAll(resp.Body, length, MaxResponseBytes)
+	if errors.Is(err, readlimit.ErrBodyTooLong) || errors.Is(err, readlimit.ErrBudgetExhausted) {
+		return Response{}, outcome.Result{Kind: outcome.Unknown, Cause: outcome.BrokenResponse, Detail: err.Error()}
+	}
 	if err != nil {
 		return Response{}, failureOutcome(true, err)
 	}
--- /dev/null
+++ b/internal/service/service_test.go
@@ -0,0 +1,104 @@
+package service_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/pimentohinge/pimentohinge/internal/network"
+	"github.com/pimentohinge/pimentohinge/internal/outcome"
+	"github.com/pimentohinge/pimentohinge/internal/service"
+)
+
+// startBackend serves each connection with a function of the test and returns the
+// address.
+func startBackend(t *testing.T, handle func(c net.Conn, r *bufio.Reader)) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				handle(c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func response(body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+func do(t *testing.T, client *service.Client, address, path string) (service.Response, outcome.Result) {
+	t.Helper()
+	return client.Do(t.Context(), service.Call{Address: address, Method: http.MethodPost, Path: path, RequestID: "r-" + path})
+}
+
+// TestLateSecondCopyIsNotTheNextResponse sends each response once more when the next
+// request arrives on the same connection. The next call must not get it.
+func TestLateSecondCopyIsNotTheNextResponse(t *testing.T) {
+	address := startBackend(t, func(c net.Conn, r *bufio.Reader) {
+		previous := ""
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, req.Body)
+			next := response("of " + req.URL.Path)
+			_, _ = io.WriteString(c, previous+next)
+			previous = next
+		}
+	})
+	client := service.New(network.Client(network.TCP{}))
+	for _, path := range []string{"/a", "/b", "/c"} {
+		if got, result := do(t, client, address, path); result.Kind != outcome.Finished || string(got.Body) != "of "+path {
+			t.Errorf("%s got %q, %+v", path, got.Body, result)
+		}
+	}
+}
+
+// TestLongResponsesAreNotCut checks that a body beyond the limit ends the call with an
+// error instead of being delivered in part, and that a header without end does too.
+func TestLongResponsesAreNotCut(t *testing.T) {
+	for _, c := range []struct {
+		name, start, repeated string
+		repeats               int
+		kind                  outcome.Kind
+		cause                 outcome.Cause
+	}{
+		{"longest", "HTTP/1.1 200 OK\r\n\r\n", "x", service.MaxResponseBytes, outcome.Finished, outcome.None},
+		{"tooLong", "HTTP/1.1 200 OK\r\n\r\n", "x", service.MaxResponseBytes + 1, outcome.Unknown, outcome.BrokenResponse},
+		{"announcedTooLong", "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", "x", 1, outcome.Unknown, outcome.BrokenResponse},
+		{"headerWithoutEnd", "HTTP/1.1 200 OK\r\nX-Name: ", "x", 64 << 20, outcome.Unknown, outcome.ServiceLost},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			address := startBackend(t, func(conn net.Conn, r *bufio.Reader) {
+				if _, err := http.ReadRequest(r); err == nil {
+					_, _ = io.WriteString(conn, c.start)
+					_, _ = io.Copy(conn, strings.NewReader(strings.Repeat(c.repeated, c.repeats)))
+				}
+			})
+			got, result := do(t, service.New(network.Client(network.TCP{})), address, "/a")
+			if result.Kind != c.kind || result.Cause != c.cause {
+				t.Errorf("got %d bytes, %+v, want %s, %q", len(got.Body), result, c.kind, c.cause)
+			}
+			if result.Kind == outcome.Finished && len(got.Body) != c.repeats {
+				t.Errorf("got %d of %d bytes", len(got.Body), c.repeats)
+			}
+		})
+	}
+}
--- a/internal/ticket/ticket.go
+++ b/internal/ticket/ticket.go
@@ -16,6 +16,10 @@
 // Lifetime is how long a ticket is valid after it was issued.
 const Lifetime = 10 * time.Minute
 
+// recordRetention is how long the record of a spent ticket is kept after the ticket's
+// expiry.
+const recordRetention = Lifetime
+
 const nonceBytes = 12
 
 // Ticket is the content of the signed token that the caller sends.
@@ -61,6 +65,9 @@
 	Invalid
 	// Expired means that the ticket expired before it was spent.
 	Expired
+	// Forgotten means that the ticket expired so long ago that this process no longer
+	// knows whether it was spent.
+	Forgotten
 	// OtherIssuer means that another VM issued the ticket.
 	OtherIssuer
 	// IssuerRestarted means that an earlier incarnation of this VM issued the ticket.
@@ -125,10 +132,13 @@
 		return ticket, spent.response, Spent
 	}
 	expires := time.UnixMilli(ticket.ExpiresUnixMs)
-	if !now.Before(expires) {
+	switch {
+	case !now.Before(expires.Add(recordRetention)):
+		return ticket, Response{}, Forgotten
+	case !now.Before(expires):
 		return ticket, Response{}, Expired
 	}
-	i.spent[ticket.Nonce] = &spentTicket{response: Response{BodyHash: bodyHash}, expires: expires.Add(Lifetime)}
+	i.spent[ticket.Nonce] = &spentTicket{response: Response{BodyHash: bodyHash}, expires: expires.Add(recordRetention)}
 	return ticket, Response{}, Granted
 }
 
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -22,6 +22,10 @@
 	maxResumes       = 8
 )
 
+// ErrTooLong means that the body of a response is longer than this package reads. The
+// call has run.
+var ErrTooLong = eris.New("response is longer than 16 MiB")
+
 // Client calls entry VMs. Its fields are set before the first call.
 type Client struct {
 	// Addresses are the URLs of entry VMs or of the load balancer in front of
@@ -153,10 +157,13 @@
 	if resp.Header.Get("Content-Type") == "application/problem+json" {
 		return Answer{}, readError(resp)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err != nil {
 		return Answer{}, eris.Wrap(err, "read response")
 	}
+	if len(body) > maxResponseBytes {
+		return Answer{}, eris.Wrap(ErrTooLong, "read response")
+	}
 	return Answer{
 		Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body,
 		Replayed:  resp.Header.Get("Idempotent-Replayed") == "true",
--- a/pkg/wire/wire.go
+++ b/pkg/wire/wire.go
@@ -87,6 +87,9 @@
 	// Body of the stored response.
 	Answer string `json:"answer"`
 
+	// True if the body of the response was too long to be stored.
+	AnswerOmitted *bool `json:"answerOmitted,omitempty,omitzero"`
+
 	// Request id of the attempt.
 	Attempt string `json:"attempt"`
 
--- a/test/faults/orders_test.go
+++ b/test/faults/orders_test.go
@@ -54,37 +54,37 @@
 }
 
 var orderScenarios = []scenario{
-		{"noneInSteadyState", slowModelLoads, func(env *testEnv) {
-			time.Sleep(10 * time.Minute)
-			if n := env.acceptedOrders(); n != 0 {
-				env.errorf("engines accepted %d orders in ten minutes without a change", n)
-			}
-		}},
-		{"newModelIsLoaded", slowModelLoads, func(env *testEnv) {
-			env.changeModel("report-writer-9b")
-			time.Sleep(45 * time.Second)
-			if result := env.stream(10, 0); result.err != nil {
-				env.errorf("%v", result.err)
-			}
-			if n := env.acceptedOrders(); n != len(env.Engines) {
-				env.errorf("%d orders were accepted by %d engines", n, len(env.Engines))
-			}
-		}},
-		{"orderGiverDies", slowModelLoads, orderGiverDies},
-		{"busyEngineIsDrained", slowModelLoads, func(env *testEnv) {
-			time.Sleep(20 * time.Second)
-			done := make(chan streamResult)
-			go func() { done <- env.stream(600, 0, 1) }()
-			time.Sleep(time.Second)
-			env.changeModel("report-writer-9b")
-			if result := <-done; result.err != nil || result.Tokens != 600 {
-				env.errorf("the report in progress ended after %d tokens: %v", result.Tokens, result.err)
-			}
-			time.Sleep(time.Minute)
-			if result := env.stream(10, 0); result.err != nil {
-				env.errorf("%v", result.err)
-			}
-		}},
+	{"noneInSteadyState", slowModelLoads, func(env *testEnv) {
+		time.Sleep(10 * time.Minute)
+		if n := env.acceptedOrders(); n != 0 {
+			env.errorf("engines accepted %d orders in ten minutes without a change", n)
+		}
+	}},
+	{"newModelIsLoaded", slowModelLoads, func(env *testEnv) {
+		env.changeModel("report-writer-9b")
+		time.Sleep(45 * time.Second)
+		if result := env.stream(10, 0); result.err != nil {
+			env.errorf("%v", result.err)
+		}
+		if n := env.acceptedOrders(); n != len(env.Engines) {
+			env.errorf("%d orders were accepted by %d engines", n, len(env.Engines))
+		}
+	}},
+	{"orderGiverDies", slowModelLoads, orderGiverDies},
+	{"busyEngineIsDrained", slowModelLoads, func(env *testEnv) {
+		time.Sleep(20 * time.Second)
+		done := make(chan streamResult)
+		go func() { done <- env.stream(600, 0, 1) }()
+		time.Sleep(time.Second)
+		env.changeModel("report-writer-9b")
+		if result := <-done; result.err != nil || result.Tokens != 600 {
+			env.errorf("the report in progress ended after %d tokens: %v", result.Tokens, result.err)
+		}
+		time.Sleep(time.Minute)
+		if result := env.stream(10, 0); result.err != nil {
+			env.errorf("%v", result.err)
+		}
+	}},
 }
 
 // orderGiver returns the index of the VM that holds the lease for the orders of a data
