internal/control/dispatch, ingress: end connect backoff at any response, one drain for each instance

Cause: connectFailures was reset by served responses only, so a server that shed or failed kept a long backoff. drainFor keyed drains by ID and address: an instance restarted within 10 s got the plan of the one before. Streams of services without moves were migrated. The stand-in panicked on a copy to a plain replica. Fields that nothing reads.

Change: any verdict of a reached server resets it; backend.Instance keys drains; no migration where the configuration says that moves are not supported; 503 from the stand-in. Removed placedAt, sentAt, SupportsBackups, HandleTTL, MaxConns, LateAfter.

Result: the four new tests fail on (two of three verdicts; migration was started; 1 drain; panic as status 0) and pass now. go test ./internal/control/... ./platform ./test/gateway.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -23,11 +23,26 @@
 	ColdUntil time.Time
 }
 
-// SameInstance reports whether s and other describe the same instance of a replica.
-func (s Server) SameInstance(other Server) bool {
-	return s.ID == other.ID && s.Address == other.Address && s.StartedAt.Equal(other.StartedAt)
+// Instance identifies one instance of a replica. It is comparable.
+type Instance struct {
+	// ID and Address are those of the Server.
+	ID, Address string
+	// StartedUnixMs is the time of its start in Unix milliseconds; 0 when unknown.
+	StartedUnixMs int64
+}
+
+// Instance returns the identity of the instance that s describes.
+func (s Server) Instance() Instance {
+	i := Instance{ID: s.ID, Address: s.Address}
+	if !s.StartedAt.IsZero() {
+		i.StartedUnixMs = s.StartedAt.UnixMilli()
+	}
+	return i
 }
 
+// SameInstance reports whether s and other describe the same instance of a replica.
+func (s Server) SameInstance(other Server) bool { return s.Instance() == other.Instance() }
+
 // Load is the load that a replica reports with a response.
 type Load struct {
 	// Running and Waiting count requests. Slots is how many run at once.
--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -64,8 +64,8 @@
 	// lastFailureAt the time of the last failure.
 	failureRate   float64
 	lastFailureAt time.Time
-	// connectFailures counts failed connection attempts since a response was last
-	// served.
+	// connectFailures counts failed connection attempts since the server was last
+	// reached.
 	connectFailures int
 	// avoidUntil is the end of the backoff after the server could not be reached
 	// or shed a request.
@@ -104,7 +104,6 @@
 	// the first byte of the response.
 	producedTokens  int
 	responseStarted bool
-	placedAt        time.Time
 }
 
 // New returns a core without servers or services.
@@ -194,12 +193,20 @@
 	}
 }
 
+// mayMigrate reports whether the streams of a server migrate, as it leaves.
+func (s *server) mayMigrate() bool {
+	return s.migrationRequested && (s.engine == nil || s.engine.SupportsMoves)
+}
+
 // migrateStreams emits MigrateStreams for a leaving server, once.
 func (c *Core) migrateStreams(srv *server) {
 	if srv.migrationRequested {
 		return
 	}
 	srv.migrationRequested = true
+	if !srv.mayMigrate() {
+		return
+	}
 	action := MigrateStreams{Server: srv.Server}
 	for _, r := range srv.requests {
 		if r.Kind == routing.Streaming {
@@ -228,7 +235,7 @@
 	c.ledgerChanged = true
 	req.assigned.recordLoad(now, msg.Load)
 	req.assigned.failureRate *= failureDecay
-	if req.assigned.migrationRequested && req.Kind == routing.Streaming {
+	if req.assigned.mayMigrate() && req.Kind == routing.Streaming {
 		// The stream had no response yet when migration was requested.
 		c.emit(MigrateStreams{Server: req.assigned.Server, Streams: []StreamToMigrate{
 			{ID: req.ID, CachedTokens: req.cachedTokens(), RemainingTokens: req.remainingOutput()},
@@ -256,9 +263,12 @@
 	c.ledgerChanged = true
 	req.releaseTarget()
 	srv.recordLoad(now, msg.Load)
+	if msg.Verdict != Unreachable && msg.Verdict != Cancelled {
+		// It was reached, whatever it answered.
+		srv.connectFailures = 0
+	}
 	switch msg.Verdict {
 	case Served:
-		srv.connectFailures = 0
 		srv.failureRate *= failureDecay
 	case Failed:
 		srv.failureRate = srv.failureRate*failureDecay + 1 - failureDecay
@@ -284,7 +294,7 @@
 	req.assigned = to
 	to.requests[req.ID] = req
 	c.retryBudget(req.Service).retries.add(now, 1)
-	if to.migrationRequested {
+	if to.mayMigrate() {
 		// The new server began to leave while the copy was in flight.
 		c.emit(MigrateStreams{Server: to.Server, Streams: []StreamToMigrate{
 			{ID: req.ID, CachedTokens: req.cachedTokens(), RemainingTokens: req.remainingOutput()},
--- a/internal/control/dispatch/dispatch_test.go
+++ b/internal/control/dispatch/dispatch_test.go
@@ -365,3 +365,57 @@
 		}
 	}
 }
+
+// TestAnyResponseEndsConnectBackoff lets a server be unreachable four times, which
+// lengthens its backoff, and then respond in some way. A later failure to connect must
+// start with the shortest backoff again.
+func TestAnyResponseEndsConnectBackoff(t *testing.T) {
+	for _, verdict := range []dispatch.Verdict{dispatch.Served, dispatch.Shed, dispatch.Failed} {
+		t.Run(verdict.String(), func(t *testing.T) {
+			core := newTestCore()
+			core.Step(start, dispatch.ServersChanged{Changed: servers("engine", "a", "c")})
+			now := start
+			id := uint64(0)
+			end := func(verdict dispatch.Verdict) {
+				id++
+				// The other server is excluded, so that this one gets the request in its backoff.
+				request := streamRequest(id)
+				request.Excluded = []string{"s1"}
+				core.Step(now, request)
+				core.Step(now, dispatch.RequestEnded{ID: id, Verdict: verdict})
+				now = now.Add(time.Minute)
+			}
+			for range 4 {
+				end(dispatch.Unreachable)
+			}
+			end(verdict)
+			end(dispatch.Unreachable)
+			now = now.Add(2*time.Second - time.Minute)
+			if got := placeStream(t, core, now, 100); got != "s0" {
+				t.Errorf("2 s after a failure to connect, the server is still avoided for %s", got)
+			}
+		})
+	}
+}
+
+// TestStreamsStayWhereMovesAreNotSupported checks that no migration starts on replicas
+// that cannot copy a KV cache.
+func TestStreamsStayWhereMovesAreNotSupported(t *testing.T) {
+	core := newTestCore()
+	core.Step(start, dispatch.ServicesChanged{Services: map[string]routing.Service{
+		"engine": {Name: "engine", Engine: &routing.Engine{Slots: 24, CapacityTokens: 34000, TokensPerEvent: 4}},
+	}})
+	list := servers("engine", "a", "a")
+	core.Step(start, dispatch.ServersChanged{Changed: list[:1]})
+	placeStream(t, core, start, 1)
+	placeStream(t, core, start, 2)
+	core.Step(start, dispatch.ResponseStarted{ID: 1})
+	list[0].Leaving = true
+	actions := core.Step(start, dispatch.ServersChanged{Changed: list})
+	actions = append(slices.Clone(actions), core.Step(start, dispatch.ResponseStarted{ID: 2})...)
+	for _, action := range actions {
+		if _, ok := action.(dispatch.MigrateStreams); ok {
+			t.Errorf("migration was started: %+v", action)
+		}
+	}
+}
--- a/internal/control/member/member.go
+++ b/internal/control/member/member.go
@@ -96,7 +96,6 @@
 // pendingProbe is a probe that has not been acknowledged.
 type pendingProbe struct {
 	target            string
-	sentAt            time.Time
 	deadline          time.Time // for the acknowledgement
 	escalated         bool      // indirect probes were requested
 	requester         string    // VM that requested the probe; empty for probes of this VM
@@ -240,7 +239,7 @@
 
 func (t *Table) probe(now time.Time, to wire.VM) {
 	t.sequence++
-	t.pending[t.sequence] = &pendingProbe{target: to.Name, sentAt: now, deadline: now.Add(t.opts.ProbeInterval)}
+	t.pending[t.sequence] = &pendingProbe{target: to.Name, deadline: now.Add(t.opts.ProbeInterval)}
 	t.send(to, wire.Probe{Sequence: t.sequence})
 }
 
@@ -368,7 +367,7 @@
 	}
 	t.sequence++
 	t.pending[t.sequence] = &pendingProbe{
-		target: request.Target, sentAt: now, deadline: now.Add(t.opts.ProbeInterval),
+		target: request.Target, deadline: now.Add(t.opts.ProbeInterval),
 		requester: from.Name, requesterSequence: request.Sequence,
 	}
 	t.send(e.Vm, wire.Probe{Sequence: t.sequence})
--- a/internal/incident/incident.go
+++ b/internal/incident/incident.go
@@ -19,8 +19,6 @@
 	// StallAfter is the time without progress after which a request counts as
 	// stalled.
 	StallAfter = time.Second
-	// LateAfter is the time to the first token after which a request counts as late.
-	LateAfter = 1300 * time.Millisecond
 )
 
 // Kinds of events that are recorded on the request path. Package control records
--- a/internal/ingress/migration.go
+++ b/internal/ingress/migration.go
@@ -63,12 +63,9 @@
 	})
 }
 
-// drainKey includes the address, as a replica may restart under the same ID.
-func drainKey(server backend.Server) string { return server.ID + "@" + server.Address }
-
 // drainFor returns the drain of a server. The first call for a server starts it.
 func (s *Server) drainFor(from backend.Server) *serverDrain {
-	key := drainKey(from)
+	key := from.Instance()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if drain, ok := s.drains[key]; ok {
--- a/internal/ingress/serverpoll.go
+++ b/internal/ingress/serverpoll.go
@@ -36,7 +36,7 @@
 	byID := map[string]backend.Server{}
 	for _, st := range s.streams {
 		server := st.currentServer()
-		if _, leaving := s.drains[drainKey(server)]; !leaving {
+		if _, leaving := s.drains[server.Instance()]; !leaving {
 			byID[server.ID] = server
 		}
 	}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -75,22 +75,17 @@
 	TokenBytes int
 	// LinkMbps is the bandwidth for KV cache transfers between replicas in Mbit/s.
 	LinkMbps float64
-	// SupportsMoves and SupportsBackups tell which KV cache transfers the replicas
-	// offer: moves of a run to another replica, and backups of a run while it executes.
-	SupportsMoves, SupportsBackups bool
+	// SupportsMoves is set when the replicas can copy the KV cache of a run to another
+	// replica.
+	SupportsMoves bool
 	// TokensPerEvent is the number of tokens in one event; at least 1.
 	TokensPerEvent int
-	// HandleTTL is how long a replica keeps a copy that is not used.
-	HandleTTL time.Duration
 }
 
 // Service is a set of interchangeable replicas.
 type Service struct {
 	// Name is unique in a state.
 	Name string
-	// MaxConns is the number of connections that one replica accepts from all VMs
-	// together.
-	MaxConns int
 	// Engine is nil for a service that does not run models.
 	Engine *Engine
 }
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -511,7 +511,7 @@
 	if copied, ok := r.copies[handle]; ok {
 		earlier = copied.tokens
 	}
-	if r.used()-earlier+tokens > r.opts.Engine.CapacityTokens {
+	if r.opts.Engine == nil || r.used()-earlier+tokens > r.opts.Engine.CapacityTokens {
 		return false
 	}
 	r.copies[handle] = &kvCache{attempt: attempt, tokens: tokens}
--- a/test/gateway/stream_test.go
+++ b/test/gateway/stream_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -311,3 +312,51 @@
 		env.requireComplete(env.stream(t.Context(), "s0", 10), 10)
 	})
 }
+
+// TestRestartedReplicaGetsItsOwnDrain lets a replica leave, restart under its ID and
+// address within the time for which its drain is kept, and leave again. The second notice
+// must start a drain of its own: with the first one, streams would be handed over as if
+// its time were over.
+func TestRestartedReplicaGetsItsOwnDrain(t *testing.T) {
+	runTest(t, func(t *testing.T, env *testEnv) {
+		env.startEngine("e-1", "a")
+		env.startEngine("e-2", "a")
+		announce := func(state string, born int64) {
+			env.store.Set("servers/e-1", object{
+				"service": "engine", "addr": env.replicas["e-1"].Address(), "zone": "a", "version": "v1", "slots": 24,
+				"state": state, "coldLeftMs": 0, "seq": 1, "born": born,
+			})
+			time.Sleep(time.Second)
+		}
+		for _, born := range []int64{1_700_000_000_000, 1_700_000_003_000} {
+			announce("ready", born)
+			announce("draining", born)
+		}
+		if n := env.logs.count("event=serverLeaves server=e-1"); n != 2 {
+			t.Errorf("%d drains were started for two instances, want 2", n)
+		}
+	})
+}
+
+// TestCopyToPlainReplicaIsRefused asks an engine to copy a run to a replica of a plain
+// service, whose address may have belonged to an engine before.
+func TestCopyToPlainReplicaIsRefused(t *testing.T) {
+	runTest(t, func(t *testing.T, env *testEnv) {
+		env.startEngine("e-1", "a")
+		env.startPlain("p-1", nil)
+		wait := env.startStreams(1, 100, 0)
+		time.Sleep(500 * time.Millisecond)
+		client := network.Client(env.network.Host("10.3.0.3"))
+		defer client.CloseIdleConnections()
+		resp, err := client.Post("http://"+env.replicas["e-1"].Address()+"/v1/kv-move", "application/json",
+			strings.NewReader(fmt.Sprintf(`{"id":"s0","target":%q}`, env.replicas["p-1"].Address())))
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusServiceUnavailable {
+			t.Errorf("status %d, want 503", resp.StatusCode)
+		}
+		env.checkUninterrupted(wait(), 100)
+	})
+}
