release status: leave failed VMs out of the revision in force everywhere

Cause: statusRows took the revision of the first VM listed, also of a failed one, as the lowest. Change: control.View.RevisionsByDataCentre counts VMs that are alive only; a data centre without any shows 'unknown'.

--- a/cmd/pimentohinge/release.go
+++ b/cmd/pimentohinge/release.go
@@ -140,32 +140,15 @@
 }
 
 // statusRows returns one row per data centre with the lowest and the highest active
-// revision of its VMs.
+// revision of its reachable VMs.
 func statusRows(view *control.View) [][]string {
-	type dataCentreStatus struct{ lowest, highest, alive, notReachable int }
-	statuses := map[string]*dataCentreStatus{}
-	for _, member := range view.Members {
-		status := statuses[member.Vm.DataCentre]
-		if status == nil {
-			status = &dataCentreStatus{lowest: member.Revision}
-			statuses[member.Vm.DataCentre] = status
-		}
-		if member.State != "alive" {
-			status.notReachable++
-			continue
-		}
-		status.alive++
-		status.lowest, status.highest = min(status.lowest, member.Revision), max(status.highest, member.Revision)
-	}
-	names := make([]string, 0, len(statuses))
-	for name := range statuses {
-		names = append(names, name)
-	}
-	sort.Strings(names)
 	rows := [][]string{{"DATA CENTRE", "IN FORCE EVERYWHERE", "HIGHEST", "VMS", "NOT REACHABLE"}}
-	for _, name := range names {
-		status := statuses[name]
-		rows = append(rows, []string{name, strconv.Itoa(status.lowest), strconv.Itoa(status.highest), strconv.Itoa(status.alive), strconv.Itoa(status.notReachable)})
+	for _, status := range view.RevisionsByDataCentre() {
+		lowest, highest := "unknown", "unknown"
+		if status.Alive > 0 {
+			lowest, highest = strconv.Itoa(status.Lowest), strconv.Itoa(status.Highest)
+		}
+		rows = append(rows, []string{status.DataCentre, lowest, highest, strconv.Itoa(status.Alive), strconv.Itoa(status.NotReachable)})
 	}
 	return rows
 }
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/pimentohinge/pimentohinge/internal/control/configchain"
+	"github.com/pimentohinge/pimentohinge/internal/control/member"
 	"github.com/pimentohinge/pimentohinge/internal/outcome"
 	"github.com/pimentohinge/pimentohinge/pkg/wire"
 )
@@ -242,6 +243,43 @@
 	CaughtUp bool
 }
 
+// DataCentreRevisions summarizes the configuration revisions in force in one data centre.
+type DataCentreRevisions struct {
+	// DataCentre is its name.
+	DataCentre string
+	// Lowest and Highest are revisions of the VMs that are alive; 0 when none is.
+	Lowest, Highest int
+	// Alive and NotReachable count the VMs. What a VM that is not reachable has in force
+	// is not known.
+	Alive, NotReachable int
+}
+
+// RevisionsByDataCentre returns the revisions in force, sorted by data centre.
+func (v *View) RevisionsByDataCentre() []DataCentreRevisions {
+	byName := map[string]*DataCentreRevisions{}
+	for _, m := range v.Members {
+		status := byName[m.Vm.DataCentre]
+		if status == nil {
+			status = &DataCentreRevisions{DataCentre: m.Vm.DataCentre}
+			byName[m.Vm.DataCentre] = status
+		}
+		if m.State != string(member.Alive) {
+			status.NotReachable++
+			continue
+		}
+		if status.Alive == 0 {
+			status.Lowest = m.Revision
+		}
+		status.Alive++
+		status.Lowest, status.Highest = min(status.Lowest, m.Revision), max(status.Highest, m.Revision)
+	}
+	out := make([]DataCentreRevisions, 0, len(byName))
+	for _, name := range sortedKeys(byName) {
+		out = append(out, *byName[name])
+	}
+	return out
+}
+
 // BackendView is the part of a View about one backend.
 type BackendView struct {
 	wire.Backend
