serve: let requests end that were read while a planned stop closes the VM

Change: the callers' server is shut down gracefully after that, bounded by 1 s, and requests are drained again before Kill.

--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -40,6 +40,8 @@
 	maxTimelines       = 20_000
 	headerTimeout      = 10 * time.Second
 	maxHeaderBytes     = 32 << 10
+	// closeCallersTimeout bounds the wait for connections of callers to become idle.
+	closeCallersTimeout = time.Second
 )
 
 // Options configures a VM.
@@ -74,6 +76,8 @@
 	callers   *caller.Server
 	registry  *prometheus.Registry
 	servers   []*http.Server
+	// callersServer is the one of servers that callers use; nil before Start.
+	callersServer *http.Server
 
 	config   atomic.Pointer[control.ConfigChanged]
 	view     atomic.Pointer[control.View]
@@ -173,10 +177,14 @@
 		{"operators", listen.Operators, ops.Handler(), v.wrapListener},
 		{"callers", listen.Callers, v.callers.Handler(), v.wrapListener},
 	} {
-		if err := v.serve(endpoint.name, endpoint.addr, endpoint.handler, endpoint.wrap); err != nil {
+		server, err := v.serve(endpoint.name, endpoint.addr, endpoint.handler, endpoint.wrap)
+		if err != nil {
 			v.Kill()
 			return err
 		}
+		if endpoint.name == "callers" {
+			v.callersServer = server
+		}
 	}
 	v.spawn(v.runCore)
 	v.spawn(v.writeIncidents)
@@ -197,19 +205,19 @@
 }
 
 // serve opens a listener, wraps it and serves HTTP on it.
-func (v *VM) serve(name, addr string, h http.Handler, wrap func(net.Listener) (net.Listener, error)) error {
+func (v *VM) serve(name, addr string, h http.Handler, wrap func(net.Listener) (net.Listener, error)) (*http.Server, error) {
 	ln, err := v.opts.Network.Listen(addr)
 	if err != nil {
-		return eris.Wrapf(err, "listen for %s at %s", name, addr)
+		return nil, eris.Wrapf(err, "listen for %s at %s", name, addr)
 	}
 	ln, err = wrap(ln)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
 	v.servers = append(v.servers, s)
 	v.spawn(func() { _ = s.Serve(ln) })
-	return nil
+	return s, nil
 }
 
 // wrapListener wraps a listener in TLS if the settings name a certificate.
@@ -406,14 +414,28 @@
 		cancel()
 	}
 	drained := v.callers.Drain(ctx)
-	open := v.callers.OpenRequests()
 	v.flushIncidents()
 	v.unregister()
+	drained = v.closeCallers(ctx) && drained
+	open := v.callers.OpenRequests()
 	v.Kill()
 	v.log.Info().Str("event", "stopped").Str("vm", v.self.Name).Bool("whole", drained).Int("cut", open).Msg("")
 	return drained
 }
 
+// closeCallers stops listening for callers and lets the requests end that were read
+// meanwhile. It reports whether all of them ended before ctx was done.
+func (v *VM) closeCallers(ctx context.Context) bool {
+	shutdownCtx, cancel := context.WithTimeout(ctx, closeCallersTimeout)
+	defer cancel()
+	if v.callersServer != nil && !mutation.Enabled(mutation.StopWithoutDrain) {
+		// A connection on which no request has arrived yet counts as active, so that a
+		// timeout does not mean that a request is cut off.
+		_ = v.callersServer.Shutdown(shutdownCtx)
+	}
+	return v.callers.Drain(ctx)
+}
+
 // Kill stops the VM immediately, as a crash would.
 func (v *VM) Kill() {
 	v.cancel()
--- a/test/faults/scenario_test.go
+++ b/test/faults/scenario_test.go
@@ -1,16 +1,20 @@
 package faults_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/pimentohinge/pimentohinge/internal/control"
 	"github.com/pimentohinge/pimentohinge/internal/control/configchain"
+	"github.com/pimentohinge/pimentohinge/internal/logline"
 	"github.com/pimentohinge/pimentohinge/internal/operator"
 	"github.com/pimentohinge/pimentohinge/internal/standin/fleet"
 	"github.com/pimentohinge/pimentohinge/internal/standin/ledger"
@@ -304,6 +308,53 @@
 	wg.Wait()
 }
 
+// lineCounter counts the log lines that contain a text.
+type lineCounter struct {
+	text  string
+	lines atomic.Int64
+}
+
+func (c *lineCounter) Write(b []byte) (int, error) {
+	c.lines.Add(int64(bytes.Count(b, []byte(c.text))))
+	return len(b), nil
+}
+
+// TestPlannedStopUnderLoadCutsNoRequestOff stops a VM while callers keep sending calls to it, on open connections
+// and on new ones, until it refuses connections. Each request that the VM has read, which
+// its log shows, must get an answer.
+func TestPlannedStopUnderLoadCutsNoRequestOff(t *testing.T) {
+	const callers = 100
+	handled := &lineCounter{text: "event=request request=req-entry-1-"}
+	runTest(t, func(o *fleet.Options) { o.Log = logline.New(handled, "info") }, func(env *testEnv) {
+		ctx, cancel := context.WithCancel(env.ctx)
+		var wg sync.WaitGroup
+		var answers atomic.Int64
+		for i := range callers {
+			wg.Go(func() {
+				caller := env.Client(0)
+				for n := 0; ctx.Err() == nil; n++ {
+					_, err := caller.Do(ctx, tagCall("", fmt.Sprintf(`{"tag":"HC-%d-%d"}`, i, n)))
+					var problem *client.Error
+					if err == nil || errors.As(err, &problem) {
+						answers.Add(1)
+					}
+					time.Sleep(time.Duration(1+(7*n+3*i)%23) * time.Millisecond)
+				}
+			})
+		}
+		time.Sleep(300 * time.Millisecond)
+		if !env.VMs[0].Stop(env.ctx) {
+			env.errorf("VM 0 stopped before its requests had ended")
+		}
+		time.Sleep(100 * time.Millisecond)
+		cancel()
+		wg.Wait()
+		if read := handled.lines.Load(); read < callers || answers.Load() < read {
+			env.errorf("VM 0 read %d requests, callers got %d answers", read, answers.Load())
+		}
+	})
+}
+
 // replaceDataCentre kills and restarts all VMs of a data centre at once. Every VM
 // must serve requests afterwards.
 func replaceDataCentre(env *testEnv) {
--- /dev/null
+++ b/test/gateway/stop_test.go
@@ -0,0 +1,82 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pimentohinge/pimentohinge/internal/network"
+	"github.com/pimentohinge/pimentohinge/internal/standin/upstream"
+)
+
+// pacedCaller sends requests one after the other on connections that it keeps open, with
+// random pauses, until the VM refuses connections. It returns the attempts without a
+// complete response.
+func (env *testEnv) pacedCaller(ctx context.Context, name string, random *rand.Rand) (cut []string) {
+	client := network.Client(env.network.Host("10.3.0.1"))
+	defer client.CloseIdleConnections()
+	for i := 0; ctx.Err() == nil; i++ {
+		attempt := fmt.Sprintf("%s-%d", name, i)
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+env.callersAddr+"/unsafe/x", http.NoBody)
+		if err != nil {
+			env.t.Fatal(err)
+		}
+		req.Host = "acme.example"
+		req.Header = upstream.Request{Attempt: attempt, Key: apiKey, Timeout: 3 * time.Second}.Headers()
+		resp, err := client.Do(req)
+		if err == nil {
+			_, err = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close()
+		}
+		if err != nil {
+			cut = append(cut, attempt)
+		}
+		time.Sleep(time.Duration(random.Int64N(int64(40 * time.Millisecond))))
+	}
+	return cut
+}
+
+// TestPlannedStopUnderLoadCutsNoRequestOff stops a VM while callers send requests on open
+// connections and on new ones until the process is gone. Each request that a replica ran
+// must get its complete response.
+func TestPlannedStopUnderLoadCutsNoRequestOff(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprintf("seed%d", seed), func(t *testing.T) {
+			runTest(t, func(t *testing.T, env *testEnv) {
+				env.startPlain("p-1", nil)
+				env.startPlain("p-2", nil)
+				ctx, cancel := context.WithCancel(t.Context())
+				var mu sync.Mutex
+				var wg sync.WaitGroup
+				cut := map[string]bool{}
+				for i := range 20 {
+					wg.Go(func() {
+						attempts := env.pacedCaller(ctx, fmt.Sprintf("c%d", i), rand.New(rand.NewPCG(seed, uint64(i))))
+						mu.Lock()
+						defer mu.Unlock()
+						for _, attempt := range attempts {
+							cut[attempt] = true
+						}
+					})
+				}
+				time.Sleep(300 * time.Millisecond)
+				clean := env.vm.Stop(t.Context())
+				time.Sleep(200 * time.Millisecond)
+				cancel()
+				wg.Wait()
+				lost := 0
+				for attempt := range cut {
+					lost += len(env.upstreams.Runs(attempt))
+				}
+				if lost > 0 || !clean {
+					t.Errorf("%d requests ran and got no response, clean stop: %v", lost, clean)
+				}
+			})
+		})
+	}
+}
