--- a/test/gateway/stop_test.go
+++ b/test/gateway/stop_test.go
@@ -15,9 +15,9 @@
 )
 
 // pacedCaller sends requests one after the other on connections that it keeps open, with
-// random pauses, until the VM refuses connections. It returns the attempts without a
-// complete response.
-func (env *testEnv) pacedCaller(ctx context.Context, name string, random *rand.Rand) (cut []string) {
+// random pauses, until the context ends. It returns the attempts without a complete
+// response and the number of refusals.
+func (env *testEnv) pacedCaller(ctx context.Context, name string, random *rand.Rand) (cut []string, refused int) {
 	client := network.Client(env.network.Host("10.3.0.1"))
 	defer client.CloseIdleConnections()
 	for i := 0; ctx.Err() == nil; i++ {
@@ -35,15 +35,17 @@
 		}
 		if err != nil {
 			cut = append(cut, attempt)
+		} else if resp.StatusCode == http.StatusServiceUnavailable {
+			refused++
 		}
 		time.Sleep(time.Duration(random.Int64N(int64(40 * time.Millisecond))))
 	}
-	return cut
+	return cut, refused
 }
 
 // TestPlannedStopUnderLoadCutsNoRequestOff stops a VM while callers send requests on open
 // connections and on new ones until the process is gone. Each request that a replica ran
-// must get its complete response.
+// must get its complete response, and each one that the VM refused must get the refusal.
 func TestPlannedStopUnderLoadCutsNoRequestOff(t *testing.T) {
 	for seed := range uint64(8) {
 		t.Run(fmt.Sprintf("seed%d", seed), func(t *testing.T) {
@@ -54,11 +56,13 @@
 				var mu sync.Mutex
 				var wg sync.WaitGroup
 				cut := map[string]bool{}
-				for i := range 20 {
+				answered := 0
+				for i := range 40 {
 					wg.Go(func() {
-						attempts := env.pacedCaller(ctx, fmt.Sprintf("c%d", i), rand.New(rand.NewPCG(seed, uint64(i))))
+						attempts, refused := env.pacedCaller(ctx, fmt.Sprintf("c%d", i), rand.New(rand.NewPCG(seed, uint64(i))))
 						mu.Lock()
 						defer mu.Unlock()
+						answered += refused
 						for _, attempt := range attempts {
 							cut[attempt] = true
 						}
@@ -76,6 +80,9 @@
 				if lost > 0 || !clean {
 					t.Errorf("%d requests ran and got no response, clean stop: %v", lost, clean)
 				}
+				if refused := env.logs.count("cause=vmStopping"); answered < refused {
+					t.Errorf("%d requests were refused, callers got %d refusals", refused, answered)
+				}
 			})
 		})
 	}
