--- a/test/faults/matrix_test.go
+++ b/test/faults/matrix_test.go
@@ -328,6 +328,7 @@
 			}
 		}
 	}
+	b.WriteString("\n" + reportedFailures)
 	b.WriteString("\n## Cells\n\n| operation | step | faults | expected |\n|---|---|---|---|\n")
 	for _, c := range cells {
 		names := make([]string, 0, len(c.faults))
--- a/test/faults/table_test.go
+++ b/test/faults/table_test.go
@@ -307,3 +307,21 @@
 	add(opReleaseNote, releaseSteps[1], append(append([]fault{}, fleetFaults...), vmKilled))
 	return cells
 }
+
+// reportedFailures is the section of docs/FAULTS.md on failures that operators of similar
+// systems have reported.
+const reportedFailures = `## Failures reported for similar systems
+
+Looked for in both programs, each with a test of the package named.
+
+| failure | serve | gateway |
+|---|---|---|
+| a second copy of an answer arrives late on a connection in use again; the next caller gets it | happened; calls to plain services, orders and cancels use a connection of their own (internal/service) | happened for answers without an ID; they are malformed on a reused connection (internal/replica). A call to a replica's control interface has no ID; a second copy of another control answer would not be told apart |
+| a planned stop under load cuts off requests that were just accepted | happened between the end of the drain and the close (test/faults, planned stop) | cannot happen: what could not end in time is refused from 1 s before the close on (test/gateway, planned stop) |
+| slow but sound streams are cut | no: keep-alives of the engine count as progress (internal/engine) | no: silence never ends a stream before its deadline (test/gateway, slow stream) |
+| stalled streams that send a byte now and then never end | no: only whole events reset the timer; events without end are bounded (internal/engine) | they end at the caller's deadline (test/gateway, streams without end) |
+| around a hand-over both processes act, and orders go out twice | no: a new holder waits until every order of the old one has expired (internal/control/lease). An order that was accepted is given again while the model is not yet reported; it names a target state | gives no orders |
+| an answer that breaks off halfway counts as complete | happened beyond 16 MiB (internal/service, pkg/client) | happened for error responses to streams beyond 8 MiB (internal/readlimit) |
+| after a restart a server that had left or a withdrawn key is in use again | a VM reads the platform or takes the highest revision of its reachable peers (scenarios startWhilePlatformOut, oldSnapshot); if all that are reachable are behind, so is the VM until it reaches another | no: the first reads are linearizable (test/gateway, restart) |
+| bytes that are no answer come without end | happened in headers and events (internal/engine, internal/service) | happened in headers, interim responses and skipped bodies (internal/replica, test/gateway) |
+`
--- a/test/gateway/store_test.go
+++ b/test/gateway/store_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"testing"
@@ -215,3 +216,40 @@
 		}
 	})
 }
+
+// TestRestartUsesNothingWithdrawn restarts a VM while stale reads of the store still return
+// the state before a key was withdrawn and a server left. Neither may be in use again.
+func TestRestartUsesNothingWithdrawn(t *testing.T) {
+	runTest(t, func(t *testing.T, env *testEnv) {
+		env.startPlain("p-1", nil)
+		env.startPlain("p-2", nil)
+		before := env.store.Version()
+		env.announce("p-1", "plain", env.replicas["p-1"].Address(), "a", "draining")
+		value, _, _ := env.store.Read("config/main")
+		var config object
+		if err := json.Unmarshal(value, &config); err != nil {
+			t.Fatal(err)
+		}
+		config["version"], config["tenants"] = 9, []object{{"name": "acme", "apiKeys": []string{"key-of-others"}}}
+		env.store.Set("config/main", config)
+		time.Sleep(3 * time.Second)
+		env.store.SetFaults(store.Faults{SerializableStaleVersion: before})
+		for restart := range 5 {
+			env.vm.Kill()
+			env.startVM()
+			for i := range 20 {
+				if got := env.callStatus("/safe/x"); got != http.StatusUnauthorized && got != http.StatusServiceUnavailable {
+					t.Errorf("restart %d: status %d with a withdrawn key", restart, got)
+				}
+				attempt := fmt.Sprintf("r%d-%d", restart, i)
+				env.call(t.Context(), http.MethodGet, "/safe/x", attempt, http.Header{"Authorization": {"Token key-of-others"}})
+				for _, run := range env.upstreams.Runs(attempt) {
+					if run.Replica == "p-1" {
+						t.Errorf("restart %d: a request ran on the server that is leaving", restart)
+					}
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+		}
+	})
+}
