--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -243,7 +244,7 @@
 		switch n, err := io.CopyN(io.Discard, resp.Body, maxSkippedBytes); {
 		case n == maxSkippedBytes:
 			return nil, eris.Wrap(ErrMalformed, "long response to another request")
-		case err != io.EOF:
+		case !errors.Is(err, io.EOF):
 			return nil, eris.Wrapf(ErrNoResponse, "skip response to another request: %v", err)
 		}
 	}
