internal/control/dispatch: VMs tell each other which servers fail

Cause: a replica that resets its requests, or cannot be reached, looks idle and gets the next request of every VM. A VM ejected it after seven failures of its own, but in the large fleet a VM sends one replica a request in tens of seconds.

Change: ledgers carry, for each server, the requests of the last 2 s that failed before their response started and the responses begun in the last second (two optional fields). A server at which at least two failed, and more failed than began, is avoided.

--- a/internal/control/dispatch/budget.go
+++ b/internal/control/dispatch/budget.go
@@ -34,9 +34,9 @@
 	}
 }
 
-func (w *window) add(now time.Time, n int) {
+func (w *window) add(now time.Time) {
 	w.advance(now)
-	w.buckets[w.newest] += n
+	w.buckets[w.newest]++
 }
 
 func (w *window) sum(now time.Time) int {
--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -36,6 +36,8 @@
 	// peerLedgers are from other VMs of this region, regionLedgers from other
 	// regions.
 	peerLedgers, regionLedgers *ledgerSet
+	// failing holds the servers at which requests of this VM have failed recently, by ID.
+	failing map[string]*server
 	// publishedAt and regionPublishedAt are when the ledger of this VM and the
 	// total of its region were last published. ledgerChanged is set when the
 	// ledger has changed since publishedAt.
@@ -64,6 +66,8 @@
 	// lastFailureAt the time of the last failure.
 	failureRate   float64
 	lastFailureAt time.Time
+	// recent counts how requests ended within failureWindow.
+	recent recentOutcomes
 	// connectFailures counts failed connection attempts since the server was last
 	// reached.
 	connectFailures int
@@ -111,7 +115,7 @@
 	return &Core{
 		opts: opts, services: map[string]routing.Service{}, servers: map[string]*server{},
 		requests: map[uint64]*request{}, budgets: map[string]*retryBudget{},
-		peerLedgers: newLedgerSet(), regionLedgers: newLedgerSet(),
+		peerLedgers: newLedgerSet(), regionLedgers: newLedgerSet(), failing: map[string]*server{},
 	}
 }
 
@@ -172,9 +176,10 @@
 			// A restarted replica has lost its requests and reservations.
 			srv = &server{
 				requests: map[uint64]*request{}, reservations: map[uint64]*request{},
-				tieBreak: tieBreakHash(c.opts.VM, update.ID),
+				tieBreak: tieBreakHash(c.opts.VM, update.ID), recent: newRecentOutcomes(),
 			}
 			c.servers[update.ID] = srv
+			delete(c.failing, update.ID)
 		}
 		wasLeaving := srv.Leaving
 		srv.Server, srv.engine, srv.proximity = update, c.services[update.Service].Engine, c.proximityOf(update.DataCentre)
@@ -189,6 +194,7 @@
 			srv.Leaving = true
 			c.migrateStreams(srv)
 			delete(c.servers, id)
+			delete(c.failing, id)
 		}
 	}
 }
@@ -232,6 +238,7 @@
 	}
 	req.responseStarted = true
 	req.assigned.connectFailures = 0
+	req.assigned.recent.served.add(now)
 	c.ledgerChanged = true
 	req.assigned.recordLoad(now, msg.Load)
 	req.assigned.failureRate *= failureDecay
@@ -270,12 +277,19 @@
 	switch msg.Verdict {
 	case Served:
 		srv.failureRate *= failureDecay
+		if !req.responseStarted {
+			srv.recent.served.add(now)
+		}
 	case Failed:
+		if !req.responseStarted {
+			c.recordFailure(now, srv)
+		}
 		srv.failureRate = srv.failureRate*failureDecay + 1 - failureDecay
 		srv.lastFailureAt = now
 	case Shed:
 		srv.avoidUntil = now.Add(shedBackoff)
 	case Unreachable:
+		c.recordFailure(now, srv)
 		srv.avoidUntil = now.Add(connectBackoff << min(srv.connectFailures, maxBackoffDoublings))
 		srv.connectFailures++
 	case Cancelled:
@@ -293,7 +307,7 @@
 	delete(req.assigned.requests, req.ID)
 	req.assigned = to
 	to.requests[req.ID] = req
-	c.retryBudget(req.Service).retries.add(now, 1)
+	c.retryBudget(req.Service).retries.add(now)
 	if to.mayMigrate() {
 		// The new server began to leave while the copy was in flight.
 		c.emit(MigrateStreams{Server: to.Server, Streams: []StreamToMigrate{
--- a/internal/control/dispatch/ledger.go
+++ b/internal/control/dispatch/ledger.go
@@ -47,7 +47,9 @@
 
 func (l *ledgerSet) remove(source string) {
 	for id, e := range l.bySource[source].entries {
-		l.add(id, LedgerEntry{Requests: -e.Requests, Tokens: -e.Tokens, PrefillTokens: -e.PrefillTokens})
+		l.add(id, LedgerEntry{
+			Requests: -e.Requests, Tokens: -e.Tokens, PrefillTokens: -e.PrefillTokens, Failed: -e.Failed, Served: -e.Served,
+		})
 	}
 	delete(l.bySource, source)
 }
@@ -73,21 +75,34 @@
 	}
 }
 
-// ownLedger returns the requests and reservations of this VM, by server.
-func (c *Core) ownLedger() map[string]LedgerEntry {
+// ownLedger returns the requests, reservations and recent failures of this VM, by
+// server.
+func (c *Core) ownLedger(now time.Time) map[string]LedgerEntry {
 	out := map[string]LedgerEntry{}
 	add := func(s *server) {
 		if s == nil || c.servers[s.ID] != s || s.engine == nil {
 			return
 		}
 		if _, done := out[s.ID]; !done {
-			out[s.ID] = s.ledgerEntry()
+			e := s.ledgerEntry()
+			_, e.Served = s.recent.counts(now)
+			out[s.ID] = e
 		}
 	}
 	for _, r := range c.requests {
 		add(r.assigned)
 		add(r.target)
 	}
+	for _, srv := range c.failing {
+		failed, served := srv.recent.counts(now)
+		if failed == 0 {
+			delete(c.failing, srv.ID)
+			continue
+		}
+		e := out[srv.ID]
+		e.Failed, e.Served = failed, served
+		out[srv.ID] = e
+	}
 	return out
 }
 
@@ -115,11 +130,11 @@
 	if age >= maxPublishInterval || c.ledgerChanged &&
 		age >= max(minPublishInterval, time.Duration(len(c.peerLedgers.bySource))*publishIntervalPerPeer) {
 		c.publishedAt, c.ledgerChanged = now, false
-		c.emit(PublishLedger{Entries: c.ownLedger()})
+		c.emit(PublishLedger{Entries: c.ownLedger(now)})
 	}
 	if now.Sub(c.regionPublishedAt) >= regionPublishInterval && c.publishesForRegion() {
 		c.regionPublishedAt = now
-		c.emit(PublishLedger{RegionTotal: true, PeerCount: len(c.peerLedgers.bySource), Entries: c.regionTotal()})
+		c.emit(PublishLedger{RegionTotal: true, PeerCount: len(c.peerLedgers.bySource), Entries: c.regionTotal(now)})
 	}
 }
 
@@ -136,8 +151,8 @@
 }
 
 // regionTotal sums the ledgers of all VMs of this region.
-func (c *Core) regionTotal() map[string]LedgerEntry {
-	out := c.ownLedger()
+func (c *Core) regionTotal(now time.Time) map[string]LedgerEntry {
+	out := c.ownLedger(now)
 	for id, e := range c.peerLedgers.total {
 		out[id] = out[id].plus(e)
 	}
@@ -147,7 +162,7 @@
 func (e LedgerEntry) plus(other LedgerEntry) LedgerEntry {
 	return LedgerEntry{
 		Requests: e.Requests + other.Requests, Tokens: e.Tokens + other.Tokens,
-		PrefillTokens: e.PrefillTokens + other.PrefillTokens,
+		PrefillTokens: e.PrefillTokens + other.PrefillTokens, Failed: e.Failed + other.Failed, Served: e.Served + other.Served,
 	}
 }
 
--- a/internal/control/dispatch/messages.go
+++ b/internal/control/dispatch/messages.go
@@ -120,6 +120,10 @@
 	// reservations for copies are expected to take. PrefillTokens are prompt tokens
 	// of requests without a response yet.
 	Requests, Tokens, PrefillTokens int
+	// Failed counts the requests that failed within failureWindow before their response
+	// started or could not be sent,
+	// Served the responses that began within servedWindow.
+	Failed, Served int
 }
 
 // PeerLedger is the ledger of another VM, or the total of another region, by
--- a/internal/control/dispatch/place.go
+++ b/internal/control/dispatch/place.go
@@ -68,9 +68,9 @@
 		return
 	}
 	if msg.Retry {
-		budget.retries.add(now, 1)
+		budget.retries.add(now)
 	} else {
-		budget.requests.add(now, 1)
+		budget.requests.add(now)
 	}
 	c.emit(Placed{ID: msg.ID, Server: srv.Server, Load: c.estimateLoad(now, srv)})
 	req.assigned = srv
@@ -145,7 +145,7 @@
 	if now.Before(srv.avoidUntil) {
 		cost += avoidCost
 	}
-	if srv.ejected(now) {
+	if srv.ejected(now) || c.isFailing(now, srv) {
 		cost += avoidCost
 	}
 	if srv.engine != nil {
--- a/internal/ingress/peers.go
+++ b/internal/ingress/peers.go
@@ -223,7 +223,10 @@
 		ledger.Source, ledger.RegionTotal = *frame.Ledger.Region, true
 	}
 	for _, entry := range frame.Ledger.Entries {
-		ledger.Entries[entry.Server] = dispatch.LedgerEntry{Requests: entry.Requests, Tokens: entry.Tokens, PrefillTokens: entry.Reading}
+		ledger.Entries[entry.Server] = dispatch.LedgerEntry{
+			Requests: entry.Requests, Tokens: entry.Tokens, PrefillTokens: entry.Reading,
+			Failed: valueOr0(entry.Failed), Served: valueOr0(entry.Served),
+		}
 	}
 	p.onLedger(ledger)
 }
@@ -235,6 +238,7 @@
 	for id, entry := range action.Entries {
 		frame.Ledger.Entries = append(frame.Ledger.Entries, wire.LedgerEntry{
 			Server: id, Requests: entry.Requests, Tokens: entry.Tokens, Reading: entry.PrefillTokens,
+			Failed: nilIf0(entry.Failed), Served: nilIf0(entry.Served),
 		})
 	}
 	if action.RegionTotal {
@@ -253,6 +257,21 @@
 	}
 }
 
+// nilIf0 returns a pointer to n, or nil if n is 0, so that the field is omitted.
+func nilIf0(n int) *int {
+	if n == 0 {
+		return nil
+	}
+	return &n
+}
+
+func valueOr0(n *int) int {
+	if n == nil {
+		return 0
+	}
+	return *n
+}
+
 // ledgerReceivers returns the VMs to which a ledger is sent: for a region's ledger those
 // of other regions, otherwise those of this region. VMs in other data centres of
 // this region are included only once per remoteLedgerInterval.
--- a/pkg/wire/wire.go
+++ b/pkg/wire/wire.go
@@ -300,12 +300,18 @@
 
 // Load that one VM, or all VMs of a region, have placed on one backend server.
 type LedgerEntry struct {
+	// Number of requests that failed at the server in the last seconds.
+	Failed *int `json:"failed,omitempty,omitzero"`
+
 	// Prompt tokens of requests that have no response yet.
 	Reading int `json:"reading"`
 
 	// Number of open requests.
 	Requests int `json:"requests"`
 
+	// Number of responses that the server began in the last second.
+	Served *int `json:"served,omitempty,omitzero"`
+
 	// Name of the server.
 	Server string `json:"server"`
 
