gateway: one gatherer in each data centre, ticks when due

Cause: each VM sent its ledger to all VMs of its region, and one VM of a region its sums to all VMs of the others: some 690 messages a second for each of 295 VMs, 416 open files, and 50 ticks a second.

One gatherer of a region that can read the store leads, 4 s after its start. The event loop ticks at Core.NextTick, servers are polled only while the store is away. Old and new builds understand each other's ledgers.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -66,6 +66,9 @@
 	// server changes, both from goroutines of the catalog.
 	OnState   func(*routing.State)
 	OnServers func([]ServerChange)
+	// OnServersUnavailable is called when the server list cannot be read any more. It must
+	// not block. It may be nil.
+	OnServersUnavailable func()
 }
 
 // Catalog holds the latest state read from the store. Run keeps it current.
@@ -352,7 +355,9 @@
 func (l *serverLoop) storeRecovered() { l.catalog.serversUnavailable.Store(false) }
 
 func (l *serverLoop) storeLost() {
-	l.catalog.serversUnavailable.Store(true)
+	if !l.catalog.serversUnavailable.Swap(true) && l.catalog.opts.OnServersUnavailable != nil {
+		l.catalog.opts.OnServersUnavailable()
+	}
 	l.submit(nil)
 }
 
--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -31,19 +31,18 @@
 	servers  map[string]*server
 	requests map[uint64]*request
 	budgets  map[string]*retryBudget
-	// fleetSize is the number of VMs that share the retry budgets.
-	fleetSize int
-	// peerLedgers are from other VMs of this region, regionLedgers from other
-	// regions.
-	peerLedgers, regionLedgers *ledgerSet
+	// fleetSize is the number of VMs that share the retry budgets, localSize that of the
+	// VMs in this data centre.
+	fleetSize, localSize int
+	// peerLedgers are from this data centre, remoteLedgers from others.
+	peerLedgers, remoteLedgers *ledgerSet
 	// failing holds the servers at which requests of this VM have failed recently, by ID.
 	failing map[string]*server
-	// publishedAt and regionPublishedAt are when the ledger of this VM and the
-	// total of its region were last published. ledgerChanged is set when the
-	// ledger has changed since publishedAt.
-	publishedAt, regionPublishedAt time.Time
-	ledgerChanged                  bool
-	actions                        []Action
+	// publishedAt is when each ledger was last published, by scope, and changed whether it
+	// has changed since.
+	publishedAt [ScopeRemote + 1]time.Time
+	changed     [ScopeRemote + 1]bool
+	actions     []Action
 }
 
 // server is a backend server with the state that this VM keeps about it.
@@ -115,7 +114,7 @@
 	return &Core{
 		opts: opts, services: map[string]routing.Service{}, servers: map[string]*server{},
 		requests: map[uint64]*request{}, budgets: map[string]*retryBudget{},
-		peerLedgers: newLedgerSet(), regionLedgers: newLedgerSet(), failing: map[string]*server{},
+		peerLedgers: newLedgerSet(), remoteLedgers: newLedgerSet(), failing: map[string]*server{},
 	}
 }
 
@@ -123,7 +122,7 @@
 func (c *Core) Step(now time.Time, msg Message) []Action {
 	c.actions = nil
 	c.peerLedgers.expire(now)
-	c.regionLedgers.expire(now)
+	c.remoteLedgers.expire(now)
 	switch msg := msg.(type) {
 	case ServicesChanged:
 		c.services = msg.Services
@@ -151,7 +150,7 @@
 			r.releaseTarget()
 		}
 	case FleetSize:
-		c.fleetSize = msg.VMs
+		c.fleetSize, c.localSize = msg.VMs, msg.Local
 	case ServerLeaving:
 		if srv, ok := c.servers[msg.Server]; ok {
 			srv.Leaving = true
@@ -160,7 +159,7 @@
 	case PeerLedger:
 		c.receivePeerLedger(now, msg)
 	case RepublishLedger:
-		c.ledgerChanged = true
+		c.markLedgerChanged()
 	case Tick:
 		c.publishLedgers(now)
 	}
@@ -239,7 +238,7 @@
 	req.responseStarted = true
 	req.assigned.connectFailures = 0
 	req.assigned.recent.served.add(now)
-	c.ledgerChanged = true
+	c.markLedgerChanged()
 	req.assigned.recordLoad(now, msg.Load)
 	req.assigned.failureRate *= failureDecay
 	if req.assigned.mayMigrate() && req.Kind == routing.Streaming {
@@ -267,7 +266,7 @@
 	srv := req.assigned
 	delete(c.requests, msg.ID)
 	delete(srv.requests, msg.ID)
-	c.ledgerChanged = true
+	c.markLedgerChanged()
 	req.releaseTarget()
 	srv.recordLoad(now, msg.Load)
 	if msg.Verdict != Unreachable && msg.Verdict != Cancelled {
@@ -302,7 +301,7 @@
 		return
 	}
 	to := req.target
-	c.ledgerChanged = true
+	c.markLedgerChanged()
 	req.releaseTarget()
 	delete(req.assigned.requests, req.ID)
 	req.assigned = to
--- a/internal/control/dispatch/dispatch_test.go
+++ b/internal/control/dispatch/dispatch_test.go
@@ -94,13 +94,13 @@
 	}
 }
 
-// TestRegionLedgersCountTowardsLoad places a stream in another region: the total that
-// one VM of that region sends for all of them must count.
-func TestRegionLedgersCountTowardsLoad(t *testing.T) {
+// TestRemoteLedgersCountTowardsLoad places a stream in another region: the sum that one VM
+// of that data centre sends for all of them must count.
+func TestRemoteLedgersCountTowardsLoad(t *testing.T) {
 	core := newTestCore()
 	core.Step(start, dispatch.ServersChanged{Changed: servers("engine", "a", "c", "c")})
 	core.Step(start, dispatch.PeerLedger{Source: "other", Entries: map[string]dispatch.LedgerEntry{"s0": {Requests: 9, Tokens: 34000}}})
-	core.Step(start, dispatch.PeerLedger{Source: "r2", RegionTotal: true, Entries: map[string]dispatch.LedgerEntry{
+	core.Step(start, dispatch.PeerLedger{Source: "c", Remote: true, Entries: map[string]dispatch.LedgerEntry{
 		"s1": {Requests: 9, Tokens: 34000},
 	}})
 	if got := placeStream(t, core, start, 1); got != "s2" {
@@ -108,26 +108,60 @@
 	}
 }
 
-// TestFirstVMByNamePublishesRegionTotal checks which VM sends the total of its region
-// to other regions, and its entries.
-func TestFirstVMByNamePublishesRegionTotal(t *testing.T) {
-	for _, c := range []struct {
-		peer      string
-		publishes bool
-	}{{"vm-1", false}, {"vm-3", true}} {
-		core := dispatch.New(dispatch.Options{VM: "vm-2", DataCentre: "a", RetryWindow: time.Second})
-		core.Step(start, dispatch.PeerLedger{Source: c.peer, Entries: map[string]dispatch.LedgerEntry{"s9": {Requests: 2, Tokens: 5000}}})
-		published := false
-		for _, a := range core.Step(start.Add(time.Second), dispatch.Tick{}) {
-			if l, ok := a.(dispatch.PublishLedger); ok && l.RegionTotal {
-				published = true
-				if diff := cmp.Diff(map[string]dispatch.LedgerEntry{"s9": {Requests: 2, Tokens: 5000}}, l.Entries); diff != "" {
-					t.Error(diff)
-				}
-			}
+// TestSumsCoverTheirScope checks over which ledgers each published sum is, and that the
+// sum for a data centre names the ledgers that it includes.
+func TestSumsCoverTheirScope(t *testing.T) {
+	core := newTestCore()
+	core.Step(start, dispatch.ServersChanged{Changed: servers("engine", "a", "a")})
+	own := placeStream(t, core, start, 1)
+	core.Step(start, dispatch.PeerLedger{Source: "vm-2", Number: 7, Entries: map[string]dispatch.LedgerEntry{"s9": {Requests: 2, Tokens: 5000}}})
+	core.Step(start, dispatch.PeerLedger{Source: "vm-2", Number: 8, Entries: map[string]dispatch.LedgerEntry{"s9": {Requests: 3, Tokens: 6000}}})
+	core.Step(start, dispatch.PeerLedger{Source: "b", Remote: true, Entries: map[string]dispatch.LedgerEntry{"s5": {Requests: 1}}})
+	ownEntry := dispatch.LedgerEntry{Requests: 1, Tokens: 3500, PrefillTokens: 3000}
+	want := []dispatch.PublishLedger{
+		{Scope: dispatch.ScopeVM, Entries: map[string]dispatch.LedgerEntry{own: ownEntry}},
+		{
+			Scope:    dispatch.ScopeDataCentre,
+			Entries:  map[string]dispatch.LedgerEntry{own: ownEntry, "s9": {Requests: 3, Tokens: 6000}},
+			Included: map[string]int64{"vm-2": 8},
+		},
+		{Scope: dispatch.ScopeRemote, Entries: map[string]dispatch.LedgerEntry{"s5": {Requests: 1}}},
+	}
+	var got []dispatch.PublishLedger
+	for _, action := range core.Step(start.Add(500*time.Millisecond), dispatch.Tick{}) {
+		if ledger, ok := action.(dispatch.PublishLedger); ok {
+			got = append(got, ledger)
 		}
-		if published != c.publishes {
-			t.Errorf("with peer %s: region total published = %v", c.peer, published)
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("published ledgers (-want +got):\n%s", diff)
+	}
+}
+
+// TestCompleteLedgerReplacesSingleOnes checks that work is not counted twice when a VM
+// stops or starts to gather: the sum of the gatherer replaces the ledgers of single VMs,
+// and they replace it.
+func TestCompleteLedgerReplacesSingleOnes(t *testing.T) {
+	entries := map[string]dispatch.LedgerEntry{"s0": {Requests: 2, Tokens: 5000}}
+	single := dispatch.PeerLedger{Source: "vm-2", Entries: entries}
+	complete := dispatch.PeerLedger{Source: "vm-1", Complete: true, Entries: entries}
+	for name, order := range map[string][]dispatch.PeerLedger{
+		"beginsToFollow": {single, complete}, "beginsToGather": {complete, single}, "followsOn": {complete, complete},
+	} {
+		for _, remote := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/remote=%v", name, remote), func(t *testing.T) {
+				core := newTestCore()
+				core.Step(start, dispatch.ServersChanged{Changed: servers("engine", "a")})
+				for _, msg := range order {
+					msg.Remote = remote
+					core.Step(start, msg)
+				}
+				for _, action := range core.Step(start, streamRequest(1)) {
+					if placed, ok := action.(dispatch.Placed); ok && placed.Load.OtherRequests != 2 {
+						t.Errorf("%d requests of other VMs count, want 2", placed.Load.OtherRequests)
+					}
+				}
+			})
 		}
 	}
 }
--- a/internal/control/dispatch/health_test.go
+++ b/internal/control/dispatch/health_test.go
@@ -81,7 +81,7 @@
 	for i, core := range f.vms {
 		for _, action := range core.Step(now, dispatch.Tick{}) {
 			ledger, ok := action.(dispatch.PublishLedger)
-			if !ok || ledger.RegionTotal {
+			if !ok || ledger.Scope != dispatch.ScopeVM {
 				continue
 			}
 			for j, other := range f.vms {
--- a/internal/control/dispatch/ledger.go
+++ b/internal/control/dispatch/ledger.go
@@ -1,25 +1,31 @@
 package dispatch
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 const (
-	// minPublishInterval and publishIntervalPerPeer, the latter times the number of
-	// peers, are lower bounds of the interval at which a ledger that changes is
-	// published. maxPublishInterval applies when it does not change.
-	minPublishInterval     = 20 * time.Millisecond
-	publishIntervalPerPeer = time.Millisecond
-	maxPublishInterval     = 500 * time.Millisecond
-	// regionPublishInterval is how often the total of the region is sent to other
-	// regions.
-	regionPublishInterval = 300 * time.Millisecond
+	// minPublishInterval and publishIntervalPerVM, the latter times the number of VMs
+	// concerned, are lower bounds of the interval at which a ledger that changes is
+	// published: a gatherer receives as many ledgers of VMs as there are in its data centre,
+	// and sends as many sums.
+	minPublishInterval   = 20 * time.Millisecond
+	publishIntervalPerVM = 2 * time.Millisecond
+	// maxPublishInterval applies when a ledger does not change, and to the sum of the other
+	// data centres.
+	maxPublishInterval = 500 * time.Millisecond
 	// peerLedgerTTL is how long a ledger is used after it was received.
 	peerLedgerTTL = 3 * time.Second
+	// completeSource is the source of a complete ledger.
+	completeSource = ""
 )
 
 // receivedLedger is the last ledger of another VM or region.
 type receivedLedger struct {
 	entries    map[string]LedgerEntry
 	receivedAt time.Time
+	number     int64
 }
 
 // ledgerSet holds the recent ledgers of other VMs or regions and keeps their sum, so
@@ -36,20 +42,27 @@
 	return &ledgerSet{bySource: map[string]receivedLedger{}, total: map[string]LedgerEntry{}}
 }
 
-// replace stores the new ledger of a source in place of its previous one.
-func (l *ledgerSet) replace(now time.Time, source string, entries map[string]LedgerEntry) {
+// replace stores a new ledger in place of the previous one of its source. A complete
+// ledger replaces those of all sources, and is replaced by that of any.
+func (l *ledgerSet) replace(now time.Time, msg PeerLedger) {
+	source := msg.Source
+	if msg.Complete {
+		source = completeSource
+		clear(l.bySource)
+		clear(l.total)
+	} else {
+		l.remove(completeSource)
+	}
 	l.remove(source)
-	l.bySource[source] = receivedLedger{entries: entries, receivedAt: now}
-	for id, e := range entries {
+	l.bySource[source] = receivedLedger{entries: msg.Entries, receivedAt: now, number: msg.Number}
+	for id, e := range msg.Entries {
 		l.add(id, e)
 	}
 }
 
 func (l *ledgerSet) remove(source string) {
 	for id, e := range l.bySource[source].entries {
-		l.add(id, LedgerEntry{
-			Requests: -e.Requests, Tokens: -e.Tokens, PrefillTokens: -e.PrefillTokens, Failed: -e.Failed, Served: -e.Served,
-		})
+		l.add(id, LedgerEntry{}.Minus(e))
 	}
 	delete(l.bySource, source)
 }
@@ -124,34 +137,69 @@
 // averageTokens is the mean KV cache size of a request from now to its end.
 func (r *request) averageTokens() int { return (r.cachedTokens() + r.peakTokens()) / 2 }
 
-// publishLedgers emits the ledgers that are due.
+// markLedgerChanged records that the ledger of this VM has changed.
+func (c *Core) markLedgerChanged() {
+	c.changed[ScopeVM], c.changed[ScopeDataCentre] = true, true
+}
+
+// publishLedgers emits the ledgers that are due. Which VMs get them, if any, is decided
+// where they are sent.
 func (c *Core) publishLedgers(now time.Time) {
-	age := now.Sub(c.publishedAt)
-	if age >= maxPublishInterval || c.ledgerChanged &&
-		age >= max(minPublishInterval, time.Duration(len(c.peerLedgers.bySource))*publishIntervalPerPeer) {
-		c.publishedAt, c.ledgerChanged = now, false
-		c.emit(PublishLedger{Entries: c.ownLedger(now)})
+	if c.publishDue(now, ScopeVM) {
+		c.emit(PublishLedger{Scope: ScopeVM, Entries: c.ownLedger(now)})
+	}
+	if c.publishDue(now, ScopeDataCentre) {
+		c.emit(PublishLedger{Scope: ScopeDataCentre, Entries: c.dataCentreTotal(now), Included: c.peerLedgers.numbers()})
 	}
-	if now.Sub(c.regionPublishedAt) >= regionPublishInterval && c.publishesForRegion() {
-		c.regionPublishedAt = now
-		c.emit(PublishLedger{RegionTotal: true, PeerCount: len(c.peerLedgers.bySource), Entries: c.regionTotal(now)})
+	if c.publishDue(now, ScopeRemote) {
+		c.emit(PublishLedger{Scope: ScopeRemote, Entries: maps.Clone(c.remoteLedgers.total)})
 	}
 }
 
-// publishesForRegion reports whether this VM sends the total of its region to other
-// regions. That is the first VM by name of those with a recent ledger. Two VMs that
-// do so at once are harmless.
-func (c *Core) publishesForRegion() bool {
-	for vm := range c.peerLedgers.bySource {
-		if vm < c.opts.VM {
-			return false
-		}
+// publishDue reports whether a ledger must be published now, and records that it is.
+func (c *Core) publishDue(now time.Time, scope LedgerScope) bool {
+	if now.Before(c.nextPublish(scope)) {
+		return false
 	}
+	c.publishedAt[scope], c.changed[scope] = now, false
 	return true
 }
 
-// regionTotal sums the ledgers of all VMs of this region.
-func (c *Core) regionTotal(now time.Time) map[string]LedgerEntry {
+// nextPublish returns when a ledger must be published next.
+func (c *Core) nextPublish(scope LedgerScope) time.Time {
+	at := c.publishedAt[scope]
+	if !c.changed[scope] {
+		return at.Add(maxPublishInterval)
+	}
+	vms := c.localSize
+	if scope == ScopeDataCentre {
+		vms = len(c.peerLedgers.bySource)
+	}
+	return at.Add(max(minPublishInterval, min(maxPublishInterval, time.Duration(vms)*publishIntervalPerVM)))
+}
+
+// NextTick returns when the next Tick is due. It may become earlier with each message.
+func (c *Core) NextTick() time.Time {
+	next := c.nextPublish(ScopeVM)
+	for _, scope := range []LedgerScope{ScopeDataCentre, ScopeRemote} {
+		if at := c.nextPublish(scope); at.Before(next) {
+			next = at
+		}
+	}
+	return next
+}
+
+// numbers returns the number of the ledger of each source.
+func (l *ledgerSet) numbers() map[string]int64 {
+	out := make(map[string]int64, len(l.bySource))
+	for source, ledger := range l.bySource {
+		out[source] = ledger.number
+	}
+	return out
+}
+
+// dataCentreTotal sums the ledgers of all VMs of this data centre.
+func (c *Core) dataCentreTotal(now time.Time) map[string]LedgerEntry {
 	out := c.ownLedger(now)
 	for id, e := range c.peerLedgers.total {
 		out[id] = out[id].plus(e)
@@ -159,6 +207,14 @@
 	return out
 }
 
+// Minus returns e without the load in other.
+func (e LedgerEntry) Minus(other LedgerEntry) LedgerEntry {
+	return e.plus(LedgerEntry{
+		Requests: -other.Requests, Tokens: -other.Tokens, PrefillTokens: -other.PrefillTokens,
+		Failed: -other.Failed, Served: -other.Served,
+	})
+}
+
 func (e LedgerEntry) plus(other LedgerEntry) LedgerEntry {
 	return LedgerEntry{
 		Requests: e.Requests + other.Requests, Tokens: e.Tokens + other.Tokens,
@@ -167,15 +223,16 @@
 }
 
 func (c *Core) receivePeerLedger(now time.Time, msg PeerLedger) {
-	if msg.RegionTotal {
-		c.regionLedgers.replace(now, msg.Source, msg.Entries)
+	if msg.Remote {
+		c.remoteLedgers.replace(now, msg)
 		return
 	}
-	c.peerLedgers.replace(now, msg.Source, msg.Entries)
+	c.peerLedgers.replace(now, msg)
+	c.changed[ScopeDataCentre] = true
 }
 
 // otherLoad sums the load that other VMs have placed on a server. It reports false
-// when no other VM or region has sent a ledger recently.
+// when no other VM has sent a ledger recently.
 func (c *Core) otherLoad(id string) (LedgerEntry, bool) {
-	return c.peerLedgers.total[id].plus(c.regionLedgers.total[id]), len(c.peerLedgers.bySource)+len(c.regionLedgers.bySource) > 0
+	return c.peerLedgers.total[id].plus(c.remoteLedgers.total[id]), len(c.peerLedgers.bySource)+len(c.remoteLedgers.bySource) > 0
 }
--- a/internal/control/dispatch/ledger_test.go
+++ b/internal/control/dispatch/ledger_test.go
@@ -19,10 +19,10 @@
 	entries map[string]dispatch.LedgerEntry
 }
 
-// TestRegionTotalSumsFreshPeerLedgers receives ledgers that replace each other and
+// TestDataCentreTotalSumsFreshPeerLedgers receives ledgers that replace each other and
 // expire in any order. The sum must be that of the newest ledger of each VM, without
 // expired ones.
-func TestRegionTotalSumsFreshPeerLedgers(t *testing.T) {
+func TestDataCentreTotalSumsFreshPeerLedgers(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		core := dispatch.New(dispatch.Options{VM: "vm-0", DataCentre: "a", RetryWindow: time.Second})
 		now := start
@@ -48,14 +48,14 @@
 			}
 		}
 		for _, a := range core.Step(now, dispatch.Tick{}) {
-			if l, ok := a.(dispatch.PublishLedger); ok && l.RegionTotal {
+			if l, ok := a.(dispatch.PublishLedger); ok && l.Scope == dispatch.ScopeDataCentre {
 				if diff := cmp.Diff(want, l.Entries); diff != "" {
-					t.Fatalf("region total (-want +got):\n%s", diff)
+					t.Fatalf("total of the data centre (-want +got):\n%s", diff)
 				}
 				return
 			}
 		}
-		t.Fatal("no region total was published")
+		t.Fatal("no total was published")
 	})
 }
 
--- a/internal/control/dispatch/messages.go
+++ b/internal/control/dispatch/messages.go
@@ -107,8 +107,8 @@
 // ReleaseTarget releases the room reserved for a stream's copy.
 type ReleaseTarget struct{ ID uint64 }
 
-// FleetSize sets the number of VMs in the fleet.
-type FleetSize struct{ VMs int }
+// FleetSize sets the number of VMs in the fleet and in this data centre.
+type FleetSize struct{ VMs, Local int }
 
 // ServerLeaving reports that a server itself, not the server list, has announced
 // that it leaves.
@@ -126,20 +126,26 @@
 	Failed, Served int
 }
 
-// PeerLedger is the ledger of another VM, or the total of another region, by
-// server. It replaces the previous one of the same source.
+// PeerLedger is the ledger of another VM of this data centre, or the sum of the ledgers
+// of several VMs, by server. It replaces the previous one of the same source.
 type PeerLedger struct {
-	// Source is the name of the VM, or of the region when RegionTotal is set.
-	Source      string
-	RegionTotal bool
-	Entries     map[string]LedgerEntry
+	// Source is the name of the VM or, when Remote is set, of another data centre.
+	Source string
+	// Remote is set when the VMs are in other data centres.
+	Remote bool
+	// Complete is set when the entries are the sum over all other VMs of this data centre
+	// or, when Remote is set, of all other data centres.
+	Complete bool
+	// Number increases with each ledger of a source.
+	Number  int64
+	Entries map[string]LedgerEntry
 }
 
 // RepublishLedger requests that the ledger is published again soon, as other data
 // that is sent with it has changed.
 type RepublishLedger struct{}
 
-// Tick is sent periodically to publish ledgers that are due.
+// Tick is sent at Core.NextTick to publish the ledgers that are due.
 type Tick struct{}
 
 func (ServicesChanged) message() {}
@@ -211,13 +217,26 @@
 	Server backend.Server
 }
 
-// PublishLedger sends the ledger of this VM to the other VMs of its region or, when
-// RegionTotal is set, the total of its region to VMs of other regions.
+// LedgerScope says over which VMs a published ledger is a sum.
+type LedgerScope int
+
+// Scopes.
+const (
+	// ScopeVM is this VM alone.
+	ScopeVM LedgerScope = iota
+	// ScopeDataCentre is this VM and those of its data centre with a recent ledger.
+	ScopeDataCentre
+	// ScopeRemote is all other data centres with a recent ledger.
+	ScopeRemote
+)
+
+// PublishLedger sends a ledger to other VMs.
 type PublishLedger struct {
-	RegionTotal bool
-	// PeerCount is the number of other VMs of the region with a recent ledger.
-	PeerCount int
-	Entries   map[string]LedgerEntry
+	Scope   LedgerScope
+	Entries map[string]LedgerEntry
+	// Included holds, for ScopeDataCentre, the number of the ledger of each VM that is part
+	// of the sum.
+	Included map[string]int64
 }
 
 func (PublishLedger) action()  {}
--- a/internal/control/dispatch/place.go
+++ b/internal/control/dispatch/place.go
@@ -76,7 +76,7 @@
 	req.assigned = srv
 	srv.requests[msg.ID] = req
 	c.requests[msg.ID] = req
-	c.ledgerChanged = true
+	c.markLedgerChanged()
 }
 
 // ejected reports whether a server fails too many requests. After ejectDuration
@@ -258,7 +258,7 @@
 	}
 	req.target = best
 	best.reservations[req.ID] = req
-	c.ledgerChanged = true
+	c.markLedgerChanged()
 	c.emit(Target{ID: msg.ID, Found: true, Server: best.Server})
 }
 
--- a/internal/ingress/eventloop.go
+++ b/internal/ingress/eventloop.go
@@ -10,7 +10,6 @@
 
 const (
 	messageQueueLength = 1024
-	tickInterval       = 20 * time.Millisecond
 )
 
 // eventLoop owns the dispatch core, which is not safe for concurrent use: one goroutine
@@ -35,21 +34,22 @@
 	}
 }
 
-// run passes messages and ticks to the core until the server stops.
+// run passes messages to the core, and ticks when they are due, until the server stops.
 func (l *eventLoop) run() {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
 		var msg dispatch.Message = dispatch.Tick{}
 		select {
 		case <-l.ctx.Done():
 			return
 		case msg = <-l.messages:
-		case <-ticker.C:
+		case <-timer.C:
 		}
 		for _, action := range l.core.Step(time.Now(), msg) {
 			l.perform(action)
 		}
+		timer.Reset(time.Until(l.core.NextTick()))
 	}
 }
 
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -108,7 +108,8 @@
 	})
 	store := platform.New("http://"+opts.Settings.Store.Address, network.Client(opts.Network))
 	s.peers = newPeerSet(opts.Settings, store, opts.Log, func(ledger dispatch.PeerLedger) { s.loop.post(ledger) })
-	s.peers.onFleetSize = func(vms int) { s.loop.post(dispatch.FleetSize{VMs: vms}) }
+	s.peers.onFleetSize = func(vms, local int) { s.loop.post(dispatch.FleetSize{VMs: vms, Local: local}) }
+	s.peers.canRead = func() bool { return s.catalog.State() != nil && !s.catalog.ServersUnavailable() }
 	s.peers.onConfirmation = func(prefix string, confirmation catalog.Confirmation) {
 		s.catalog.ReceiveConfirmation(prefix, confirmation)
 	}
@@ -117,7 +118,7 @@
 	s.catalog = catalog.New(catalog.Options{
 		Store: store, Log: opts.Log, PropagationBound: time.Duration(min(bounds.ConfigMs, bounds.DrainMs)) * time.Millisecond,
 		OnState: s.applyState, OnServers: s.applyServers, BeginRead: s.beginStoreRead,
-		Publish: s.peers.sendChange,
+		Publish: s.peers.sendChange, OnServersUnavailable: func() { s.spawn(s.pollWhileUnavailable) },
 	})
 	s.frontend = newFrontend(s.handler(), s.spawn)
 	return s
@@ -160,7 +161,6 @@
 	s.spawn(func() { s.catalog.Run(s.ctx) })
 	s.spawn(func() { s.peers.join(s.ctx, s.opts.Network) })
 	s.spawn(s.sweepLoop)
-	s.spawn(s.pollLoop)
 	vm := s.opts.Settings.VM
 	s.log.Info().Str("event", "started").Str("vm", vm.Name).Str("dataCentre", vm.DataCentre).
 		Str("callers", listen.Callers).Str("ready", listen.Ready).Str("store", s.opts.Settings.Store.Address).Msg("")
@@ -202,16 +202,19 @@
 	return false
 }
 
-// publishLedger sends a ledger to the peers. The VM that sends its region's ledger
-// to the other regions is also the leader that reads the store for its region.
+// publishLedger sends a ledger to the peers and renews the term of this VM as the leader
+// that reads the store for its region, if it is.
 func (s *Server) publishLedger(action dispatch.PublishLedger) {
-	if action.RegionTotal {
-		s.catalog.SetLeader(time.Now().Add(leaderTerm), action.PeerCount)
+	if action.Scope == dispatch.ScopeDataCentre {
+		now := time.Now()
+		if followers, leads := s.peers.leads(now); leads {
+			s.catalog.SetLeader(now.Add(leaderTerm), followers)
+		}
 	}
 	s.peers.sendLedger(action)
 }
 
-// leaderTerm is how long a VM remains leader after it last sent its region's ledger.
+// leaderTerm is how long a VM remains leader after it was last found to be.
 const leaderTerm = time.Second
 
 // beginStoreRead must be called before a linearizable read of the store. The
--- a/internal/ingress/serverpoll.go
+++ b/internal/ingress/serverpoll.go
@@ -15,13 +15,10 @@
 // shutdown notice, and its report is half a second old.
 const serverPollInterval = 150 * time.Millisecond
 
-// pollLoop polls the servers that run this VM's streams while the server list cannot be
-// read, to find out whether they are leaving.
-func (s *Server) pollLoop() {
-	for sleep.For(s.ctx, serverPollInterval) {
-		if !s.catalog.ServersUnavailable() {
-			continue
-		}
+// pollWhileUnavailable polls the servers that run this VM's streams until the server list
+// can be read again, to find out whether they are leaving.
+func (s *Server) pollWhileUnavailable() {
+	for sleep.For(s.ctx, serverPollInterval) && s.catalog.ServersUnavailable() {
 		for _, server := range s.streamServers() {
 			s.spawn(func() { s.pollServer(server) })
 		}
--- a/pkg/wire/wire.go
+++ b/pkg/wire/wire.go
@@ -280,22 +280,40 @@
 	Role string `json:"role"`
 }
 
-// Load that the sender, or all VMs of its region together, have placed on backend
-// servers; complete, not a change.
+// Load that the sender, or several VMs together, have placed on backend servers;
+// complete, not a change.
 type Ledger struct {
 	// Number of this beat. The numbers count up from a random start in each run of
 	// the sender.
 	Beat *int `json:"beat,omitempty,omitzero"`
 
+	// True if the sender, a gatherer, can read the platform's store.
+	CanLead *bool `json:"canLead,omitempty,omitzero"`
+
 	// Linearizable reads of the platform's store by the sender.
 	Confirmed []Confirmed `json:"confirmed,omitempty,omitzero"`
 
+	// The sender's data centre if the entries are sums over its VMs; otherwise
+	// absent.
+	DataCentre *string `json:"dataCentre,omitempty,omitzero"`
+
 	// One entry for each server on which there are requests or reserved copies.
 	Entries []LedgerEntry `json:"entries"`
 
-	// The sender's region if the entries are sums over all VMs of that region;
-	// otherwise absent.
+	// The VM to which the receiver should send its ledger; present if the sender is
+	// not the one.
+	Gatherer *VM `json:"gatherer,omitempty,omitzero"`
+
+	// Newest beat of the receiver whose ledger is part of the sums; absent if none
+	// is.
+	Includes *int `json:"includes,omitempty,omitzero"`
+
+	// The sender's region if the entries are sums over all VMs of that region, which
+	// builds before data centres had gatherers send; otherwise absent.
 	Region *string `json:"region,omitempty,omitzero"`
+
+	// True if the entries are sums over the VMs of all other data centres.
+	Remote *bool `json:"remote,omitempty,omitzero"`
 }
 
 // Load that one VM, or all VMs of a region, have placed on one backend server.
