gateway: log who gathers and leads, count reads of the store

Cause: an operator could not see which VM gathers or reads the store, nor the calls by kind, which are the largest price of the large deployment.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -66,6 +66,8 @@
 	// server changes, both from goroutines of the catalog.
 	OnState   func(*routing.State)
 	OnServers func([]ServerChange)
+	// OnStoreCall is called after each call to the store. It may be nil.
+	OnStoreCall func(prefix string, linearizable bool, status platform.Status)
 	// OnServersUnavailable is called when the server list cannot be read any more. It must
 	// not block. It may be nil.
 	OnServersUnavailable func()
@@ -168,6 +170,9 @@
 		linearizable := c.isLeaderAt(cur.calledAt) || cur.needsLinearizable(cur.calledAt, c.linearizableInterval)
 		endRead := c.beginRead(handler.prefix, linearizable)
 		listing, status := c.readStore(ctx, handler, cur, linearizable)
+		if c.opts.OnStoreCall != nil {
+			c.opts.OnStoreCall(handler.prefix, linearizable, status)
+		}
 		now := time.Now()
 		switch status {
 		case platform.OK:
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -118,7 +118,7 @@
 	s.catalog = catalog.New(catalog.Options{
 		Store: store, Log: opts.Log, PropagationBound: time.Duration(min(bounds.ConfigMs, bounds.DrainMs)) * time.Millisecond,
 		OnState: s.applyState, OnServers: s.applyServers, BeginRead: s.beginStoreRead,
-		Publish: s.peers.sendChange, OnServersUnavailable: func() { s.spawn(s.pollWhileUnavailable) },
+		Publish: s.peers.sendChange, OnStoreCall: s.metrics.countStoreCall, OnServersUnavailable: func() { s.spawn(s.pollWhileUnavailable) },
 	})
 	s.frontend = newFrontend(s.handler(), s.spawn)
 	return s
--- a/internal/ingress/ledgers.go
+++ b/internal/ingress/ledgers.go
@@ -68,7 +68,12 @@
 
 // ledgerFrames returns the frames for a ledger. p.mu must be held.
 func (p *peerSet) ledgerFrames(now time.Time, action dispatch.PublishLedger) []outgoing {
-	gathers := p.vms.Gathers(now)
+	gatherer := p.vms.Gatherer(now, p.self.DataCentre)
+	gathers := gatherer.Name == p.self.Name
+	if gatherer.Name != p.lastGatherer {
+		p.lastGatherer = gatherer.Name
+		p.log.Info().Str("event", "gatherer").Str("vm", gatherer.Name).Bool("self", gathers).Msg("")
+	}
 	switch {
 	case action.Scope == dispatch.ScopeVM && !gathers:
 		return []outgoing{p.ownLedgerFrame(now, action.Entries)}
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -1,6 +1,12 @@
 package ingress
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"strconv"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/pimentohinge/pimentohinge/platform"
+)
 
 // metrics holds the Prometheus metrics of the proxy.
 type metrics struct {
@@ -9,6 +15,7 @@
 	firstByteSeconds *prometheus.HistogramVec
 	resumes          *prometheus.CounterVec
 	moves            *prometheus.CounterVec
+	storeCalls       *prometheus.CounterVec
 	configVersion    prometheus.Gauge
 }
 
@@ -28,10 +35,18 @@
 		moves: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pimentohinge_moves_total", Help: "Copies of a stream's memory to another server, by phase and result.",
 		}, []string{"phase", "result"}),
+		storeCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pimentohinge_store_calls_total", Help: "Reads of configuration and servers in the store, by kind, linearizability and status.",
+		}, []string{"prefix", "linearizable", "status"}),
 		configVersion: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "pimentohinge_config_version", Help: "Version of the configuration in force.",
 		}),
 	}
-	m.registry.MustRegister(m.requests, m.firstByteSeconds, m.resumes, m.moves, m.configVersion)
+	m.registry.MustRegister(m.requests, m.firstByteSeconds, m.resumes, m.moves, m.storeCalls, m.configVersion)
 	return m
 }
+
+// countStoreCall counts a read of the store.
+func (m *metrics) countStoreCall(prefix string, linearizable bool, status platform.Status) {
+	m.storeCalls.WithLabelValues(prefix, strconv.FormatBool(linearizable), status.String()).Inc()
+}
--- a/internal/ingress/peers.go
+++ b/internal/ingress/peers.go
@@ -74,6 +74,10 @@
 	// vms holds the known VMs and their roles.
 	vms  *gather.Table
 	sent sentLedgers
+	// lastGatherer is the name of the gatherer that was logged last, and wasLeader whether
+	// this VM was the leader then.
+	lastGatherer string
+	wasLeader    bool
 	// totalsAt is the earliest time of the next sums to other gatherers.
 	totalsAt time.Time
 }
@@ -261,5 +265,10 @@
 	canRead := p.canRead()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.vms.InRegion(now)), p.vms.Leads(now, canRead)
+	leads = p.vms.Leads(now, canRead)
+	if leads != p.wasLeader {
+		p.wasLeader = leads
+		p.log.Info().Str("event", "leader").Bool("self", leads).Bool("canRead", canRead).Msg("")
+	}
+	return len(p.vms.InRegion(now)), leads
 }
