internal/ingress: split the frames of a gatherer, mend two comments

Reading the diff: one long switch became remoteFrames, the gatherer is looked up once. No change of behaviour; go test ./internal/ingress ./test/gateway passed.

--- a/internal/ingress/ledgers.go
+++ b/internal/ingress/ledgers.go
@@ -76,28 +76,34 @@
 	}
 	switch {
 	case action.Scope == dispatch.ScopeVM && !gathers:
-		return []outgoing{p.ownLedgerFrame(now, action.Entries)}
+		return []outgoing{p.ownLedgerFrame(now, gatherer, action.Entries)}
 	case action.Scope == dispatch.ScopeDataCentre && gathers:
 		return p.totalFrames(now, action)
 	case action.Scope == dispatch.ScopeRemote && gathers:
-		remote := true
-		ledger := wire.Ledger{Remote: &remote, Entries: ledgerToWire(action.Entries)}
-		var frames []outgoing
-		for _, vm := range p.vms.Followers(now) {
-			frames = append(frames, outgoing{vm, wire.Frame{Ledger: &ledger}})
-		}
-		for _, vm := range p.vms.Strangers(now) {
-			p.vms.Asked(now, vm.Name)
-			frames = append(frames, outgoing{vm, redirectFrame(p.self)})
-		}
-		return frames
+		return p.remoteFrames(now, action.Entries)
 	}
 	return nil
 }
 
+// remoteFrames returns the sum of the other data centres for the followers of this VM, and
+// makes this VM known to the VMs of its data centre that do not follow it. p.mu must be
+// held.
+func (p *peerSet) remoteFrames(now time.Time, entries map[string]dispatch.LedgerEntry) []outgoing {
+	remote := true
+	ledger := wire.Ledger{Remote: &remote, Entries: ledgerToWire(entries)}
+	var frames []outgoing
+	for _, vm := range p.vms.Followers(now) {
+		frames = append(frames, outgoing{vm, wire.Frame{Ledger: &ledger}})
+	}
+	for _, vm := range p.vms.Strangers(now) {
+		p.vms.Asked(now, vm.Name)
+		frames = append(frames, outgoing{vm, redirectFrame(p.self)})
+	}
+	return frames
+}
+
 // ownLedgerFrame returns the ledger of this VM for its gatherer. p.mu must be held.
-func (p *peerSet) ownLedgerFrame(now time.Time, entries map[string]dispatch.LedgerEntry) outgoing {
-	gatherer := p.vms.Gatherer(now, p.self.DataCentre)
+func (p *peerSet) ownLedgerFrame(now time.Time, gatherer wire.VM, entries map[string]dispatch.LedgerEntry) outgoing {
 	p.vms.Asked(now, gatherer.Name)
 	beat := p.beats.Next(now)
 	p.sent.add(beat, entries)
@@ -138,8 +144,8 @@
 	return wire.Frame{Ledger: &ledger}
 }
 
-// receiveLedger processes a ledger of another VM or a sum of several. A VM that has sent
-// its ledger to the wrong one is told which one is the gatherer.
+// receiveLedger processes a ledger of another VM or a sum of several. If this VM is not the
+// gatherer, it names the gatherer to the sender of a ledger.
 func (p *peerSet) receiveLedger(from wire.VM, ledger *wire.Ledger) {
 	if ledger.Beat != nil {
 		p.beats.Receive(from.Name, int64(*ledger.Beat))
