--- a/internal/control/dispatch/ledger.go
+++ b/internal/control/dispatch/ledger.go
@@ -11,7 +11,7 @@
 	// published: a gatherer receives as many ledgers of VMs as there are in its data centre,
 	// and sends as many sums.
 	minPublishInterval   = 20 * time.Millisecond
-	publishIntervalPerVM = 2 * time.Millisecond
+	publishIntervalPerVM = time.Millisecond
 	// maxPublishInterval applies when a ledger does not change, and to the sum of the other
 	// data centres.
 	maxPublishInterval = 500 * time.Millisecond
