--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -88,6 +88,8 @@
 	servers map[string]backend.Server // by server ID
 	// drains holds the drains of the leaving servers.
 	drains map[backend.Instance]*serverDrain
+	// checks holds the servers that are being checked.
+	checks map[backend.Instance]bool
 }
 
 // New returns a server that is not listening yet; Start starts it.
@@ -99,7 +101,7 @@
 		opts: opts, log: opts.Log, ctx: ctx, cancel: cancel, pool: replica.New(opts.Network),
 		metrics: newMetrics(), streams: map[uint64]*stream{}, servers: map[string]backend.Server{},
 		requestBodies: readlimit.New(bodyMemory), responseBodies: readlimit.New(bodyMemory),
-		drains: map[backend.Instance]*serverDrain{}, successLog: rate.NewLimiter(successLinesPerSecond, 2*successLinesPerSecond),
+		drains: map[backend.Instance]*serverDrain{}, checks: map[backend.Instance]bool{}, successLog: rate.NewLimiter(successLinesPerSecond, 2*successLinesPerSecond),
 	}
 	core := dispatch.New(dispatch.Options{
 		VM: opts.Settings.VM.Name, DataCentre: opts.Settings.VM.DataCentre, Regions: opts.Settings.DataCentres,
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -16,6 +16,7 @@
 	resumes          *prometheus.CounterVec
 	moves            *prometheus.CounterVec
 	storeCalls       *prometheus.CounterVec
+	serverChecks     *prometheus.CounterVec
 	configVersion    prometheus.Gauge
 }
 
@@ -38,11 +39,14 @@
 		storeCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pimentohinge_store_calls_total", Help: "Reads of configuration and servers in the store, by kind, linearizability and status.",
 		}, []string{"prefix", "linearizable", "status"}),
+		serverChecks: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pimentohinge_server_checks_total", Help: "Checks of servers that closed the connection of a request, by state of the server.",
+		}, []string{"state"}),
 		configVersion: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "pimentohinge_config_version", Help: "Version of the configuration in force.",
 		}),
 	}
-	m.registry.MustRegister(m.requests, m.firstByteSeconds, m.resumes, m.moves, m.storeCalls, m.configVersion)
+	m.registry.MustRegister(m.requests, m.firstByteSeconds, m.resumes, m.moves, m.storeCalls, m.serverChecks, m.configVersion)
 	return m
 }
 
--- a/internal/ingress/plain.go
+++ b/internal/ingress/plain.go
@@ -45,6 +45,9 @@
 	mayHaveRun bool
 	verdict    dispatch.Verdict
 	err        error
+	// closedByServer is set when the server closed the connection before its response
+	// was complete.
+	closedByServer bool
 }
 
 // succeeded reports whether the server returned a complete 2xx response.
@@ -169,6 +172,7 @@
 	ctx, cancel := context.WithDeadline(req.ctx, s.attemptDeadline(req, runs))
 	defer cancel()
 	result := s.send(ctx, req, server)
+	result.closedByServer = closedByServer(ctx, result.err)
 	var ended dispatch.RequestEnded
 	ended.ID, ended.Verdict = req.id, result.verdict
 	if result.response != nil {
@@ -178,13 +182,24 @@
 		ended.Verdict = dispatch.Cancelled
 	}
 	s.loop.post(ended)
-	if result.err != nil {
-		s.log.Warn().Str("event", "sendFailed").Str("request", req.params.AttemptID).Str("server", server.ID).
-			Str("verdict", result.verdict.String()).Bool("ran", result.mayHaveRun).Str("reason", eris.ToString(result.err, false)).Msg("")
-	}
+	s.logSendFailure(req, server, result)
 	return result
 }
 
+// logSendFailure logs why a server gave no response, and checks the server if it closed
+// the connection.
+func (s *Server) logSendFailure(req *request, server backend.Server, result attemptResult) {
+	if result.err == nil {
+		return
+	}
+	s.log.Warn().Str("event", "sendFailed").Str("request", req.params.AttemptID).Str("server", server.ID).
+		Str("verdict", result.verdict.String()).Bool("ran", result.mayHaveRun).Str("segments", req.segmentNames()).
+		Str("reason", eris.ToString(result.err, false)).Msg("")
+	if result.closedByServer {
+		s.checkServer(req, server)
+	}
+}
+
 // attemptDeadline returns the deadline of the next attempt. For a safe request it
 // leaves time for another server: the attempt gets twice the route's latency target or
 // a quarter of the time left, whichever is longer.
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -95,6 +95,9 @@
 		if req.cancelled() {
 			return s.interruptStream(st, s.cancelledOutcome(req, true), dispatch.Cancelled)
 		}
+		if closedByServer(req.ctx, err) {
+			s.checkServer(req, st.currentServer())
+		}
 		resumed, ok := s.resume(st, err)
 		if !ok {
 			return s.interruptStream(st, outcome.Result{Cause: outcome.EngineLost, Detail: eris.ToString(err, false)}, dispatch.Failed)
@@ -123,6 +126,7 @@
 		}
 		server := placed.Server
 		resp, result := s.tryStream(req, server)
+		result.closedByServer = closedByServer(req.ctx, result.err)
 		if result.verdict != dispatch.Unreachable {
 			req.attempts++
 		}
@@ -138,10 +142,7 @@
 			ended.Load = result.response.Parsed.Load
 		}
 		s.loop.post(ended)
-		if result.err != nil {
-			s.log.Warn().Str("event", "sendFailed").Str("request", req.params.AttemptID).Str("server", server.ID).
-				Str("verdict", result.verdict.String()).Bool("ran", result.mayHaveRun).Str("reason", eris.ToString(result.err, false)).Msg("")
-		}
+		s.logSendFailure(req, server, result)
 		if result.mayHaveRun || req.cancelled() {
 			return nil, server, s.finish(req, result, boolInt(result.mayHaveRun), outcome.Result{}), false
 		}
@@ -287,7 +288,7 @@
 		s.metrics.resumes.WithLabelValues("noCopy").Inc()
 		s.log.Warn().Str("event", "streamLost").Str("request", req.params.AttemptID).Str("server", req.serverID).
 			Int64("relayed", st.lastEventID).Int64("waitedMs", time.Since(brokenAt).Milliseconds()).
-			Str("reason", eris.ToString(cause, false)).Msg("")
+			Str("segments", req.segmentNames()).Str("reason", eris.ToString(cause, false)).Msg("")
 		return nil, false
 	}
 	forward := req.forwardParams(point.server)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -166,11 +166,27 @@
 	p.idle[address] = append(p.idle[address], c)
 }
 
+// Check reports, by its error, whether connections to an address can be opened. The new
+// connection is kept for a later request.
+func (p *Pool) Check(ctx context.Context, address string) error {
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return eris.Wrapf(ErrNotSent, "connect to %s: %v", address, err)
+	}
+	c.reusableUntil = reuseDeadline(time.Now(), 0)
+	p.putIdle(address, c)
+	return nil
+}
+
 func (p *Pool) connect(ctx context.Context, address string) (*conn, error) {
 	if c := p.takeIdle(address, time.Now()); c != nil {
 		c.reused = true
 		return c, nil
 	}
+	return p.dial(ctx, address)
+}
+
+func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	c, err := p.network.Dial(ctx, address)
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -360,3 +360,29 @@
 		t.Errorf("no listener: %v", err)
 	}
 }
+
+// TestCheckKeepsItsConnection checks that a server which listens passes a check, whose
+// connection then carries the next request, and that one which does not listen fails it.
+func TestCheckKeepsItsConnection(t *testing.T) {
+	server := startReplica(t, func(_ int64, c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err == nil {
+			_, _ = io.WriteString(c, okResponse("a1", "done"))
+		}
+	})
+	pool := replica.New(network.TCP{})
+	if err := pool.Check(t.Context(), server.address); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := pool.Send(t.Context(), server.address, &replica.Request{Method: http.MethodGet, Target: "/", Host: "h", AttemptID: "a1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Close()
+	if n := server.opened.Load(); n != 1 {
+		t.Errorf("%d connections, want 1", n)
+	}
+	unused := replica.New(pipenet.New().Host("10.0.0.2"))
+	if err := unused.Check(t.Context(), "10.0.0.3:80"); !errors.Is(err, replica.ErrNotSent) {
+		t.Errorf("check of a server that does not listen: %v", err)
+	}
+}
