test/gateway: reproduce engines that crash on a prompt segment

The replica stand-in crashes after the header of its response and before the first event, closes all connections, stays in the server list until its entry expires, and starts again under another ID.

go test ./test/gateway -run TestEnginesCrashOnPromptSegment

--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -121,6 +121,15 @@
 	s.appendVersion(key, objectVersion{value: b})
 }
 
+// Delete removes an object, bypassing rate limits and faults.
+func (s *Store) Delete(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, exists := s.latest(key); exists {
+		s.appendVersion(key, objectVersion{deleted: true})
+	}
+}
+
 // Read returns the latest value of an object, bypassing rate limits and faults.
 func (s *Store) Read(key string) (value []byte, version int64, ok bool) {
 	s.mu.Lock()
--- a/internal/standin/upstream/cluster.go
+++ b/internal/standin/upstream/cluster.go
@@ -22,6 +22,8 @@
 	Resumed bool
 	// Workspace and Key are the workspace and authorization headers as received.
 	Workspace, Key string
+	// Segments are the IDs of the segments of the prompt, in order.
+	Segments []string
 	// TimeoutMs is the remaining time in the request, in milliseconds.
 	TimeoutMs int
 }
@@ -50,6 +52,17 @@
 	return runs
 }
 
+// AllRuns returns all runs in the order of their start.
+func (c *Cluster) AllRuns() []Run {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	runs := make([]Run, 0, len(c.runs))
+	for _, run := range c.runs {
+		runs = append(runs, *run)
+	}
+	return runs
+}
+
 func (c *Cluster) recordStart(run Run) *Run {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -75,6 +75,10 @@
 	ServiceTime time.Duration
 	// Fault selects the fault for each attempt; nil means none.
 	Fault func(attempt string) Fault
+	// Crashes reports whether the replica crashes when it starts to generate for a prompt
+	// with these segments; nil means never. OnCrash is called after a crash; it may be nil.
+	Crashes func(segments []string) bool
+	OnCrash func()
 }
 
 // Replica is one running replica.
@@ -211,7 +215,7 @@
 	timeoutMs, _ := strconv.Atoi(req.Header.Get("X-Pimentohinge-Deadline-Ms"))
 	run := Run{
 		Attempt: attempt, Replica: r.opts.ID, Workspace: req.Header.Get("X-Pimentohinge-Tenant"),
-		Key: req.Header.Get("Authorization"), TimeoutMs: timeoutMs,
+		Key: req.Header.Get("Authorization"), TimeoutMs: timeoutMs, Segments: promptSegments(req.Header),
 	}
 	if r.opts.Engine == nil {
 		r.servePlain(w, req, run, fault)
@@ -385,6 +389,11 @@
 	r.setHeaders(w.Header(), run.Attempt)
 	w.Header().Set("Content-Type", "text/event-stream")
 	rc := http.NewResponseController(w)
+	if r.opts.Crashes != nil && r.opts.Crashes(run.Segments) {
+		_ = rc.Flush()
+		r.waitFor(req, gen, engine.EventInterval/2)
+		r.crash()
+	}
 	for i := first; i <= total; i++ {
 		r.waitFor(req, gen, engine.EventInterval)
 		if fault == TruncatesBody && i == total/2 {
@@ -398,6 +407,26 @@
 	}
 }
 
+// promptSegments returns the IDs of the segments of a prompt.
+func promptSegments(h http.Header) []string {
+	var ids []string
+	for entry := range strings.SplitSeq(h.Get("X-Pimentohinge-Prompt-Prefix"), ",") {
+		if id, _, ok := strings.Cut(entry, ":"); ok {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// crash ends the replica in the middle of a response.
+func (r *Replica) crash() {
+	r.Stop()
+	if r.opts.OnCrash != nil {
+		r.opts.OnCrash()
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // EventData returns the data of event i of an attempt's stream.
 func EventData(attempt string, i int) string { return attempt + "/" + strconv.Itoa(i) }
 
--- /dev/null
+++ b/test/gateway/crash_test.go
@@ -0,0 +1,420 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pimentohinge/pimentohinge/internal/ingress"
+	"github.com/pimentohinge/pimentohinge/internal/standin/upstream"
+)
+
+const (
+	// contactTime is the time without disturbance after which the rules bind a VM.
+	contactTime = 4 * time.Second
+	// maxCrashes is the number of crashes after which, and contactTime later, at most
+	// maxLateRequests with the segment may reach engines.
+	maxCrashes      = 5
+	maxLateRequests = 3
+	// maxRefusalTime is the longest time in which a caller learns that its request is not
+	// run.
+	maxRefusalTime = 150 * time.Millisecond
+)
+
+// crashingSegment is a prompt segment that crashes each engine which starts to generate
+// for it.
+type crashingSegment struct {
+	id string
+	// from and until bound the time in which requests with it are sent, one in each
+	// interval on average.
+	from, until, interval time.Duration
+	// position is its place in the prompt, from 0; it is never the last.
+	position int
+}
+
+// crashRun is a run with prompt segments that crash engines.
+type crashRun struct {
+	seed              uint64
+	dataCentres       []string
+	vms, engines      int // in each data centre
+	segments          []crashingSegment
+	length            time.Duration
+	soundInterval     time.Duration
+	documents         int // segments that sound requests share, besides the first
+	restartAfter      time.Duration
+	keepsID           bool // an engine starts again with its ID
+	lateVM, cutVM     time.Duration
+	cutFor            time.Duration
+	killAll           time.Duration
+	crashWithoutCause time.Duration // interval of crashes of random engines; 0 for none
+}
+
+// sentRequest is a request of a crashRun.
+type sentRequest struct {
+	attempt string
+	segment string // the crashing segment; empty in a sound request
+	at      time.Duration
+	vm      int
+	took    time.Duration
+	resp    response
+}
+
+// crashVM is one entry VM of a crashRun.
+type crashVM struct {
+	host, dataCentre string
+	server           *ingress.Server
+	// disturbed are the times at which it started, was cut off and was connected again.
+	disturbed []time.Duration
+}
+
+// crashFleet is a fleet while a crashRun is played.
+type crashFleet struct {
+	*testEnv
+	run   crashRun
+	start time.Time
+	vms   []*crashVM
+
+	mu      sync.Mutex
+	rand    *rand.Rand
+	engines map[string]*upstream.Replica // by address
+	crashes map[string][]time.Duration   // by segment
+	started int
+	sent    []sentRequest
+	wg      sync.WaitGroup
+}
+
+// startEngineAt starts an engine at an address and announces it. An engine that crashes is
+// announced until its entry expires, and starts again after run.restartAfter.
+func (f *crashFleet) startEngineAt(id, address, dataCentre string) {
+	host, _, _ := strings.Cut(address, ":")
+	replica, err := f.upstreams.Start(upstream.Options{
+		ID: id, Address: address, Network: f.network.Host(host),
+		Engine: &upstream.Engine{
+			CapacityTokens: 34000, EventTokens: 4, EventInterval: 30 * time.Millisecond, PromptTokensPerMs: 14, CopyTokensPerMs: 18,
+		},
+		Crashes: func(segments []string) bool { return f.crashingSegment(segments) != "" },
+		OnCrash: func() { f.restart(id, address, dataCentre) },
+	})
+	if err != nil {
+		f.t.Error(err)
+		return
+	}
+	f.mu.Lock()
+	f.engines[address] = replica
+	f.mu.Unlock()
+	f.store.Set("servers/"+id, object{
+		"service": "engine", "addr": address, "zone": dataCentre, "version": "v1", "slots": 24,
+		"state": "ready", "coldLeftMs": 0, "seq": 1, "born": time.Now().UnixMilli(),
+	})
+}
+
+// crashingSegment returns the crashing segment of a prompt, or "".
+func (f *crashFleet) crashingSegment(segments []string) string {
+	for _, s := range f.run.segments {
+		if slices.Contains(segments, s.id) {
+			return s.id
+		}
+	}
+	return ""
+}
+
+// restart starts an engine again after a crash.
+func (f *crashFleet) restart(id, address, dataCentre string) {
+	f.wg.Go(func() {
+		entryGone := f.run.restartAfter * 8 / 10
+		time.Sleep(entryGone)
+		f.store.Delete("servers/" + id)
+		time.Sleep(f.run.restartAfter - entryGone)
+		if !f.run.keepsID {
+			f.mu.Lock()
+			f.started++
+			id = fmt.Sprintf("e-%d", f.started)
+			f.mu.Unlock()
+		}
+		f.startEngineAt(id, address, dataCentre)
+	})
+}
+
+// send sends one request with the given segments to a random VM.
+func (f *crashFleet) send(attempt, crashing string, segments []string) {
+	f.mu.Lock()
+	i := f.rand.IntN(len(f.vms))
+	f.mu.Unlock()
+	if f.vms[i].server == nil {
+		return
+	}
+	at := time.Now()
+	ctx, cancel := context.WithTimeout(f.t.Context(), 20*time.Second)
+	defer cancel()
+	resp := f.via(f.vms[i].host+":8000").call(ctx, http.MethodPost, "/report/x", attempt, http.Header{
+		"X-Pimentohinge-Token-Usage":   {"1500,160"},
+		"X-Pimentohinge-Prompt-Prefix": {strings.Join(segments, ":300,") + ":300"},
+	})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sent = append(f.sent, sentRequest{
+		attempt: attempt, segment: crashing, at: at.Sub(f.start), vm: i, took: time.Since(at), resp: resp,
+	})
+}
+
+// pause returns a random time with the given mean.
+func (f *crashFleet) pause(mean time.Duration) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Duration(f.rand.ExpFloat64() * float64(mean))
+}
+
+// prompt returns the segments of a request: the common first one, one of the documents
+// and the request's own. crashing is inserted at its position.
+func (f *crashFleet) prompt(attempt string, crashing *crashingSegment) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	segments := []string{"c0", fmt.Sprintf("d%d", f.rand.IntN(f.run.documents)), "own" + attempt}
+	if crashing != nil {
+		segments = slices.Insert(segments, crashing.position, crashing.id)
+	}
+	return segments
+}
+
+// sendAll sends the requests of the run until its end.
+func (f *crashFleet) sendAll() {
+	f.wg.Go(func() {
+		for i := 0; time.Since(f.start) < f.run.length; i++ {
+			attempt := fmt.Sprintf("s%d", i)
+			f.wg.Go(func() { f.send(attempt, "", f.prompt(attempt, nil)) })
+			time.Sleep(f.pause(f.run.soundInterval))
+		}
+	})
+	for n, segment := range f.run.segments {
+		f.wg.Go(func() {
+			time.Sleep(segment.from)
+			for i := 0; time.Since(f.start) < segment.until; i++ {
+				attempt := fmt.Sprintf("c%d-%d", n, i)
+				f.wg.Go(func() { f.send(attempt, segment.id, f.prompt(attempt, &segment)) })
+				time.Sleep(f.pause(segment.interval))
+			}
+		})
+	}
+}
+
+// play plays a run with the VM and store of env.
+func (env *testEnv) playCrashes(run crashRun) *crashFleet {
+	f := &crashFleet{
+		testEnv: env, run: run, rand: rand.New(rand.NewPCG(run.seed, 0)), engines: map[string]*upstream.Replica{},
+	}
+	env.vm.Kill()
+	env.vm = nil
+	for d, dataCentre := range run.dataCentres {
+		for i := range run.engines {
+			f.started++
+			f.startEngineAt(fmt.Sprintf("e-%d", f.started), fmt.Sprintf("10.%d.64.%d:80", d+1, i+1), dataCentre)
+		}
+		for i := range run.vms {
+			f.vms = append(f.vms, &crashVM{host: fmt.Sprintf("10.%d.0.%d", d+1, i+1), dataCentre: dataCentre})
+		}
+	}
+	for i, vm := range f.vms {
+		if i > 0 || run.lateVM == 0 {
+			f.startCrashVM(i, vm)
+		}
+	}
+	time.Sleep(10 * time.Second)
+	f.start = time.Now()
+	for _, vm := range f.vms {
+		vm.disturbed = nil
+	}
+	f.sendAll()
+	f.disturb()
+	time.Sleep(time.Until(f.start.Add(run.length)))
+	f.wg.Wait()
+	for _, vm := range f.vms {
+		vm.server.Kill()
+	}
+	for _, replica := range f.engines {
+		replica.Stop()
+	}
+	return f
+}
+
+func (f *crashFleet) startCrashVM(i int, vm *crashVM) {
+	vm.server = f.newVMIn(vm.dataCentre, fmt.Sprintf("vm-%02d", i), vm.host)
+	vm.disturbed = append(vm.disturbed, time.Since(f.start))
+}
+
+// disturb starts a VM late, cuts one off, and kills all, as the run says.
+func (f *crashFleet) disturb() {
+	if f.run.lateVM > 0 {
+		f.wg.Go(func() {
+			time.Sleep(f.run.lateVM)
+			f.startCrashVM(0, f.vms[0])
+		})
+	}
+	if f.run.cutVM > 0 {
+		f.wg.Go(func() {
+			time.Sleep(f.run.cutVM)
+			f.cutLastVM(true)
+			time.Sleep(f.run.cutFor)
+			f.cutLastVM(false)
+		})
+	}
+	if f.run.killAll > 0 {
+		f.wg.Go(func() {
+			time.Sleep(f.run.killAll)
+			for i, vm := range f.vms {
+				if vm.server != nil {
+					vm.server.Kill()
+					f.startCrashVM(i, vm)
+				}
+			}
+		})
+	}
+}
+
+// cutLastVM cuts the last VM off from the other VMs and the store, or heals the cut.
+func (f *crashFleet) cutLastVM(cut bool) {
+	vm := f.vms[len(f.vms)-1]
+	vm.disturbed = append(vm.disturbed, time.Since(f.start))
+	hosts := []string{storeHost}
+	for _, other := range f.vms[:len(f.vms)-1] {
+		hosts = append(hosts, other.host)
+	}
+	for _, host := range hosts {
+		if cut {
+			f.network.Cut(vm.host, host)
+			f.network.Cut(host, vm.host)
+			continue
+		}
+		f.network.Heal(vm.host, host)
+		f.network.Heal(host, vm.host)
+	}
+}
+
+// inTouch reports whether a VM had no disturbance within contactTime before a time and is
+// not cut off.
+func (f *crashFleet) inTouch(vm int, at time.Duration) bool {
+	cut := f.run.cutVM > 0 && vm == len(f.vms)-1 && at >= f.run.cutVM && at < f.run.cutVM+f.run.cutFor
+	return !cut && !slices.ContainsFunc(f.vms[vm].disturbed, func(d time.Duration) bool { return at >= d && at < d+contactTime })
+}
+
+// checkCrashes fails the test if a segment reached engines too often, if sound requests
+// were refused because of one, or if a refusal was late or false.
+func (f *crashFleet) checkCrashes() {
+	f.t.Helper()
+	bySegment := map[string][]sentRequest{}
+	requests := map[string]sentRequest{}
+	for _, sent := range f.sent {
+		bySegment[sent.segment] = append(bySegment[sent.segment], sent)
+		requests[sent.attempt] = sent
+	}
+	arrivals := map[string][]upstream.Run{}
+	for _, run := range f.upstreams.AllRuns() {
+		if segment := f.crashingSegment(run.Segments); segment != "" {
+			arrivals[segment] = append(arrivals[segment], run)
+		}
+	}
+	for _, segment := range f.run.segments {
+		f.checkSegment(segment, arrivals[segment.id], requests)
+		f.checkRefusals(bySegment[segment.id])
+	}
+}
+
+// checkSegment checks the requests with one segment that reached engines.
+func (f *crashFleet) checkSegment(segment crashingSegment, runs []upstream.Run, requests map[string]sentRequest) {
+	f.t.Helper()
+	var crashes []time.Duration
+	for _, run := range runs {
+		if !run.Ended.IsZero() {
+			crashes = append(crashes, run.Ended.Sub(f.start))
+		}
+	}
+	slices.Sort(crashes)
+	if len(crashes) < 2 {
+		f.t.Errorf("segment %s: %d crashes, the run shows nothing", segment.id, len(crashes))
+		return
+	}
+	last := crashes[min(maxCrashes, len(crashes))-1]
+	late := 0
+	for _, run := range runs {
+		at := run.Started.Sub(f.start)
+		if len(crashes) >= maxCrashes && at > last+contactTime && f.inTouch(requests[run.Attempt].vm, at) {
+			late++
+		}
+	}
+	f.t.Logf("segment %s: %d requests reached engines, %d of them late; crashes at %v", segment.id, len(runs), late, crashes)
+	if late > maxLateRequests {
+		f.t.Errorf("segment %s: %d requests reached engines %v after the fifth crash, want at most %d", segment.id, late, contactTime, maxLateRequests)
+	}
+	f.checkSound(last+2*contactTime, segment)
+}
+
+// checkSound checks that sound requests are served while requests with a segment still
+// come: at least half as often as before the first crash.
+func (f *crashFleet) checkSound(from time.Duration, segment crashingSegment) {
+	f.t.Helper()
+	var before, beforeServed, after, afterServed, refused int
+	for _, sent := range f.sent {
+		if sent.segment != "" || !f.inTouch(sent.vm, sent.at) {
+			continue
+		}
+		served := 0
+		if len(sent.resp.events) > 0 {
+			served = 1
+		}
+		if strings.Contains(sent.resp.body, "promptQuarantined") && sent.at > from {
+			refused++
+		}
+		switch {
+		case sent.at < f.run.segments[0].from-time.Second:
+			before, beforeServed = before+1, beforeServed+served
+		case sent.at > from && sent.at < segment.until:
+			after, afterServed = after+1, afterServed+served
+		}
+	}
+	f.t.Logf("sound requests: %d of %d served before, %d of %d after the crashes", beforeServed, before, afterServed, after)
+	if after >= 20 && afterServed*2*before < beforeServed*after {
+		f.t.Errorf("sound requests: %d of %d served, before the crashes %d of %d", afterServed, after, beforeServed, before)
+	}
+	if refused > 0 {
+		f.t.Errorf("%d sound requests were refused because of a segment that crashes no engine", refused)
+	}
+}
+
+// checkRefusals checks that each request with a crashing segment was answered truthfully
+// and at once.
+func (f *crashFleet) checkRefusals(sent []sentRequest) {
+	f.t.Helper()
+	for _, s := range sent {
+		ran := len(f.upstreams.Runs(s.attempt)) > 0
+		switch {
+		case s.resp.status == http.StatusServiceUnavailable && ran:
+			f.t.Errorf("%s was answered 503 and ran", s.attempt)
+		case s.resp.status == http.StatusServiceUnavailable && s.took > maxRefusalTime:
+			f.t.Errorf("%s was refused after %v", s.attempt, s.took)
+		case s.resp.status == http.StatusOK:
+			f.t.Errorf("%s was answered 200", s.attempt)
+		}
+	}
+}
+
+// incidentRun is the load of the incident inc1 in small.
+func incidentRun() crashRun {
+	return crashRun{
+		seed: 1, dataCentres: []string{"a", "b", "c"}, vms: 2, engines: 4, length: 40 * time.Second,
+		soundInterval: 150 * time.Millisecond, documents: 6, restartAfter: 3500 * time.Millisecond,
+		segments: []crashingSegment{{id: "bad1", from: 5 * time.Second, until: 40 * time.Second, interval: 500 * time.Millisecond, position: 1}},
+	}
+}
+
+// TestEnginesCrashOnPromptSegment guards against BUDGET in inc1: requests with one segment
+// crashed engine after engine.
+func TestEnginesCrashOnPromptSegment(t *testing.T) {
+	runTest(t, func(_ *testing.T, env *testEnv) {
+		env.playCrashes(incidentRun()).checkCrashes()
+	})
+}
--- a/test/gateway/env_test.go
+++ b/test/gateway/env_test.go
@@ -128,16 +128,22 @@
 	return &other
 }
 
+// regions maps each data centre of the tests to its region.
+var regions = map[string]string{"a": "r1", "b": "r2", "c": "r3", "d": "r1"}
+
 // newVM starts an entry VM in data centre a.
-func (env *testEnv) newVM(name, host string) *ingress.Server {
+func (env *testEnv) newVM(name, host string) *ingress.Server { return env.newVMIn("a", name, host) }
+
+// newVMIn starts an entry VM in a data centre.
+func (env *testEnv) newVMIn(dataCentre, name, host string) *ingress.Server {
 	vm := ingress.New(ingress.Options{
 		Network: env.network.Host(host), Log: logline.New(env.logs, "info"),
 		Settings: settings.Gateway{
-			VM:          settings.VM{Name: name, Region: "r1", DataCentre: "a"},
+			VM:          settings.VM{Name: name, Region: regions[dataCentre], DataCentre: dataCentre},
 			Listen:      settings.GatewayListen{Callers: host + ":8000", Ready: host + ":8001", Peers: host + ":8002"},
 			Store:       settings.Store{Address: storeAddr},
 			MemoryMb:    64,
-			DataCentres: map[string]string{"a": "r1", "b": "r2"},
+			DataCentres: regions,
 			Bounds:      settings.Bounds{GraceS: 8, ConfigMs: 3000, DrainMs: 3000, RetryRatio: 0.2, RetrySlack: 50, RetryWindowS: 10},
 		},
 	})
