control/poison: quarantine prompt segments that crash engines

Cause: the death of an engine was counted against the engine only. No VM related it to what the lost requests held, and nothing was told to other VMs, so each saw a few broken streams on engines that were different each time. A response whose header came counted as served even if it broke before its first event.

Change: package poison collects, for each engine that ended, the segments of the requests that were lost there before their output had proven sound, and segments that have. The fewest segments that explain the crashes are quarantined once they explain three; requests with one are refused at once with 503, promptQuarantined and the time at which it may be tried again. Evidence only counts for engines that have ended, by a check of the connection or a new instance in the server list, and not for engines that leave as planned. VMs exchange the evidence along the ledgers' paths and form unions; the leader of a region keeps it in the store for VMs that start or are cut off from others. It is bounded (64 crashes of 32 segments) and ages: a quarantine ends after 5 min, is probed by one VM after the other, and doubles if the probe crashes an engine.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -1,7 +1,10 @@
 // Package backend describes the backend servers that replicas announce.
 package backend
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // Server is one instance of a replica as announced. Each start of a replica is a new
 // instance.
@@ -40,6 +43,15 @@
 	return i
 }
 
+// String returns a text that identifies the instance: its ID and the time of its start or,
+// when that is unknown, its address.
+func (i Instance) String() string {
+	if i.StartedUnixMs == 0 {
+		return i.ID + "@" + i.Address
+	}
+	return i.ID + "@" + strconv.FormatInt(i.StartedUnixMs, 10)
+}
+
 // SameInstance reports whether s and other describe the same instance of a replica.
 func (s Server) SameInstance(other Server) bool { return s.Instance() == other.Instance() }
 
--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -42,6 +42,7 @@
 	// has changed since.
 	publishedAt [ScopeRemote + 1]time.Time
 	changed     [ScopeRemote + 1]bool
+	poison      poisonState
 	actions     []Action
 }
 
@@ -107,6 +108,8 @@
 	// the first byte of the response.
 	producedTokens  int
 	responseStarted bool
+	// sound is set when the output has shown that the prompt crashes no server.
+	sound bool
 }
 
 // New returns a core without servers or services.
@@ -115,6 +118,7 @@
 		opts: opts, services: map[string]routing.Service{}, servers: map[string]*server{},
 		requests: map[uint64]*request{}, budgets: map[string]*retryBudget{},
 		peerLedgers: newLedgerSet(), remoteLedgers: newLedgerSet(), failing: map[string]*server{},
+		poison: newPoisonState(opts.VM),
 	}
 }
 
@@ -130,7 +134,7 @@
 			srv.engine = msg.Services[srv.Service].Engine
 		}
 	case ServersChanged:
-		c.updateServers(msg)
+		c.updateServers(now, msg)
 	case PlaceRequest:
 		c.placeRequest(now, msg)
 	case ResponseStarted:
@@ -138,6 +142,7 @@
 	case Progress:
 		if r, ok := c.requests[msg.ID]; ok {
 			r.producedTokens = msg.Tokens
+			c.requestSound(now, r)
 		}
 	case RequestEnded:
 		c.requestEnded(now, msg)
@@ -153,25 +158,33 @@
 		c.fleetSize, c.localSize = msg.VMs, msg.Local
 	case ServerLeaving:
 		if srv, ok := c.servers[msg.Server]; ok {
-			srv.Leaving = true
-			c.migrateStreams(srv)
+			c.serverLeaves(now, srv)
 		}
+	case ServerChecked:
+		c.serverChecked(now, msg)
+	case PeerEvidence:
+		c.mergeEvidence(now, msg)
 	case PeerLedger:
 		c.receivePeerLedger(now, msg)
 	case RepublishLedger:
 		c.markLedgerChanged()
 	case Tick:
 		c.publishLedgers(now)
+		c.publishEvidence(now)
 	}
+	c.reportQuarantines(now)
 	return c.actions
 }
 
 func (c *Core) emit(action Action) { c.actions = append(c.actions, action) }
 
-func (c *Core) updateServers(msg ServersChanged) {
+func (c *Core) updateServers(now time.Time, msg ServersChanged) {
 	for _, update := range msg.Changed {
 		srv, known := c.servers[update.ID]
 		if !known || !srv.SameInstance(update) {
+			if known {
+				c.poison.tracker.ServerEnded(now, srv.Instance().String())
+			}
 			// A restarted replica has lost its requests and reservations.
 			srv = &server{
 				requests: map[uint64]*request{}, reservations: map[uint64]*request{},
@@ -184,7 +197,7 @@
 		srv.Server, srv.engine, srv.proximity = update, c.services[update.Service].Engine, c.proximityOf(update.DataCentre)
 		srv.Leaving = srv.Leaving || wasLeaving
 		if srv.Leaving {
-			c.migrateStreams(srv)
+			c.serverLeaves(now, srv)
 		}
 	}
 	for _, id := range msg.Removed {
@@ -198,6 +211,15 @@
 	}
 }
 
+// serverLeaves records that a server has announced that it leaves.
+func (c *Core) serverLeaves(now time.Time, srv *server) {
+	srv.Leaving = true
+	if !srv.migrationRequested {
+		c.poison.tracker.ServerLeaves(now, srv.Instance().String())
+	}
+	c.migrateStreams(srv)
+}
+
 // mayMigrate reports whether the streams of a server migrate, as it leaves.
 func (s *server) mayMigrate() bool {
 	return s.migrationRequested && (s.engine == nil || s.engine.SupportsMoves)
@@ -269,6 +291,7 @@
 	c.markLedgerChanged()
 	req.releaseTarget()
 	srv.recordLoad(now, msg.Load)
+	c.recordSoundness(now, req, msg)
 	if msg.Verdict != Unreachable && msg.Verdict != Cancelled {
 		// It was reached, whatever it answered.
 		srv.connectFailures = 0
--- a/internal/control/dispatch/ledger.go
+++ b/internal/control/dispatch/ledger.go
@@ -181,6 +181,9 @@
 // NextTick returns when the next Tick is due. It may become earlier with each message.
 func (c *Core) NextTick() time.Time {
 	next := c.nextPublish(ScopeVM)
+	if at, ok := c.nextEvidence(); ok && at.Before(next) {
+		next = at
+	}
 	for _, scope := range []LedgerScope{ScopeDataCentre, ScopeRemote} {
 		if at := c.nextPublish(scope); at.Before(next) {
 			next = at
--- a/internal/control/dispatch/messages.go
+++ b/internal/control/dispatch/messages.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/pimentohinge/pimentohinge/internal/backend"
+	"github.com/pimentohinge/pimentohinge/internal/control/poison"
 	"github.com/pimentohinge/pimentohinge/internal/outcome"
 	"github.com/pimentohinge/pimentohinge/internal/routing"
 )
@@ -40,6 +41,8 @@
 	Kind routing.Kind
 	// ExpectedOutputTokens is the caller's estimate or, without one, its limit.
 	PromptTokens, ExpectedOutputTokens int
+	// Segments are the segments of the prompt that other requests may share.
+	Segments []string
 	// Excluded are the IDs of servers that must not be chosen.
 	Excluded []string
 	// Retry is set when the request was sent to a replica before.
@@ -87,6 +90,9 @@
 type RequestEnded struct {
 	ID      uint64
 	Verdict Verdict
+	// Completed is set when the whole output has arrived, ClosedByServer when the server
+	// closed the connection before that.
+	Completed, ClosedByServer bool
 	// Load is what the server reported with its response, or nil.
 	Load *backend.Load
 }
@@ -114,6 +120,21 @@
 // that it leaves.
 type ServerLeaving struct{ Server string }
 
+// ServerChecked reports whether a server is running that closed the connection of a
+// request.
+type ServerChecked struct {
+	Server  backend.Server
+	Running bool
+}
+
+// PeerEvidence is evidence of another VM, or of the store, about prompt segments that crash
+// servers.
+type PeerEvidence struct {
+	Evidence poison.Evidence
+	// PassOn is set when other VMs get the evidence from this VM.
+	PassOn bool
+}
+
 // LedgerEntry is the load that one VM, or one region, has placed on one server.
 type LedgerEntry struct {
 	// Requests counts open requests. Tokens is the KV cache that they and the
@@ -162,6 +183,8 @@
 func (PeerLedger) message()      {}
 func (RepublishLedger) message() {}
 func (Tick) message()            {}
+func (ServerChecked) message()   {}
+func (PeerEvidence) message()    {}
 
 // Action is an output of the core.
 type Action interface{ action() }
@@ -187,10 +210,12 @@
 	ReportedAt time.Time
 }
 
-// Refused refuses a request. Cause is NoReplica or RetryBudget.
+// Refused refuses a request. Cause is NoReplica, RetryBudget or PromptQuarantined.
 type Refused struct {
 	ID    uint64
 	Cause outcome.Cause
+	// Detail explains the cause; it may be empty.
+	Detail string
 	// RetryAt is when a server is expected to be available.
 	RetryAt time.Time
 }
@@ -239,8 +264,16 @@
 	Included map[string]int64
 }
 
-func (PublishLedger) action()  {}
-func (Placed) action()         {}
-func (Refused) action()        {}
-func (MigrateStreams) action() {}
-func (Target) action()         {}
+// PublishEvidence sends evidence about prompt segments that crash servers to other VMs.
+type PublishEvidence struct{ Evidence poison.Evidence }
+
+// Quarantined reports the segments that are quarantined, after a change.
+type Quarantined struct{ Quarantines []poison.Quarantine }
+
+func (PublishEvidence) action() {}
+func (Quarantined) action()     {}
+func (PublishLedger) action()   {}
+func (Placed) action()          {}
+func (Refused) action()         {}
+func (MigrateStreams) action()  {}
+func (Target) action()          {}
--- a/internal/control/dispatch/place.go
+++ b/internal/control/dispatch/place.go
@@ -56,6 +56,10 @@
 
 // placeRequest emits Placed or Refused for a request.
 func (c *Core) placeRequest(now time.Time, msg PlaceRequest) {
+	if refused, ok := c.checkQuarantine(now, msg); ok {
+		c.emit(refused)
+		return
+	}
 	budget := c.retryBudget(msg.Service)
 	if msg.Retry && !budget.allowsRetry(now, c.opts.RetrySlack/float64(max(minFleetSize, c.fleetSize))) {
 		c.emit(Refused{ID: msg.ID, Cause: outcome.RetryBudget, RetryAt: now.Add(time.Second)})
--- a/internal/ingress/eventloop.go
+++ b/internal/ingress/eventloop.go
@@ -18,18 +18,18 @@
 	ctx      context.Context // cancelled when the server stops
 	core     *dispatch.Core
 	messages chan dispatch.Message
-	// onMigrate and onLedger are called from the loop's goroutine and must not block.
-	onMigrate func(dispatch.MigrateStreams)
-	onLedger  func(dispatch.PublishLedger)
+	// perform carries out the actions that are no replies. It is called from the loop's
+	// goroutine and must not block.
+	perform func(dispatch.Action)
 
 	mu sync.Mutex
 	// pending holds the channels of open calls by key.
 	pending map[uint64]chan dispatch.Action
 }
 
-func newEventLoop(ctx context.Context, core *dispatch.Core, onMigrate func(dispatch.MigrateStreams), onLedger func(dispatch.PublishLedger)) *eventLoop {
+func newEventLoop(ctx context.Context, core *dispatch.Core, perform func(dispatch.Action)) *eventLoop {
 	return &eventLoop{
-		ctx: ctx, core: core, onMigrate: onMigrate, onLedger: onLedger, messages: make(chan dispatch.Message, messageQueueLength),
+		ctx: ctx, core: core, perform: perform, messages: make(chan dispatch.Message, messageQueueLength),
 		pending: map[uint64]chan dispatch.Action{},
 	}
 }
@@ -47,14 +47,14 @@
 		case <-timer.C:
 		}
 		for _, action := range l.core.Step(time.Now(), msg) {
-			l.perform(action)
+			l.handle(action)
 		}
 		timer.Reset(time.Until(l.core.NextTick()))
 	}
 }
 
-// perform carries out an action of the core.
-func (l *eventLoop) perform(action dispatch.Action) {
+// handle passes a reply to its caller and carries out any other action.
+func (l *eventLoop) handle(action dispatch.Action) {
 	switch action := action.(type) {
 	case dispatch.Placed:
 		l.reply(action.ID, action)
@@ -62,10 +62,8 @@
 		l.reply(action.ID, action)
 	case dispatch.Target:
 		l.reply(targetKey(action.ID), action)
-	case dispatch.MigrateStreams:
-		l.onMigrate(action)
-	case dispatch.PublishLedger:
-		l.onLedger(action)
+	default:
+		l.perform(action)
 	}
 }
 
--- a/internal/ingress/filters.go
+++ b/internal/ingress/filters.go
@@ -44,6 +44,8 @@
 	id      uint64
 	params  platform.RequestHeaders
 	arrived time.Time
+	// segments are the segments of the prompt that other requests may share.
+	segments []string
 	// The fields below are set before the request is sent to a server.
 	state     *routing.State
 	route     routing.Route
@@ -102,6 +104,7 @@
 		w: w, r: r, id: s.lastRequestID.Add(1), params: platform.DecodeRequestHeaders(r.Header), arrived: time.Now(),
 		state: s.catalog.State(),
 	}
+	req.segments = req.params.SharedSegments()
 	defer func() {
 		req.requestMemory.Release()
 		req.responseMemory.Release()
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -19,6 +19,7 @@
 	"github.com/pimentohinge/pimentohinge/internal/backend"
 	"github.com/pimentohinge/pimentohinge/internal/catalog"
 	"github.com/pimentohinge/pimentohinge/internal/control/dispatch"
+	"github.com/pimentohinge/pimentohinge/internal/control/poison"
 	"github.com/pimentohinge/pimentohinge/internal/network"
 	"github.com/pimentohinge/pimentohinge/internal/readlimit"
 	"github.com/pimentohinge/pimentohinge/internal/replica"
@@ -90,6 +91,8 @@
 	drains map[backend.Instance]*serverDrain
 	// checks holds the servers that are being checked.
 	checks map[backend.Instance]bool
+
+	quarantines *quarantineStore
 }
 
 // New returns a server that is not listening yet; Start starts it.
@@ -116,12 +119,16 @@
 		s.catalog.ReceiveConfirmation(prefix, confirmation)
 	}
 	s.peers.onChange = func(change catalog.Change) { s.catalog.ReceiveChange(change) }
-	s.loop = newEventLoop(ctx, core, s.startMigrations, s.publishLedger)
+	s.peers.onEvidence = func(evidence dispatch.PeerEvidence) { s.loop.post(evidence) }
+	s.loop = newEventLoop(ctx, core, s.perform)
 	s.catalog = catalog.New(catalog.Options{
 		Store: store, Log: opts.Log, PropagationBound: time.Duration(min(bounds.ConfigMs, bounds.DrainMs)) * time.Millisecond,
 		OnState: s.applyState, OnServers: s.applyServers, BeginRead: s.beginStoreRead,
 		Publish: s.peers.sendChange, OnStoreCall: s.metrics.countStoreCall, OnServersUnavailable: func() { s.spawn(s.pollWhileUnavailable) },
 	})
+	s.quarantines = newQuarantineStore(store, opts.Log, s.metrics, s.peers.leads, func(evidence poison.Evidence) {
+		s.loop.post(dispatch.PeerEvidence{Evidence: evidence, PassOn: true})
+	})
 	s.frontend = newFrontend(s.handler(), s.spawn)
 	return s
 }
@@ -162,6 +169,7 @@
 	s.spawn(func() { s.loop.run() })
 	s.spawn(func() { s.catalog.Run(s.ctx) })
 	s.spawn(func() { s.peers.join(s.ctx, s.opts.Network) })
+	s.spawn(func() { s.quarantines.run(s.ctx) })
 	s.spawn(s.sweepLoop)
 	vm := s.opts.Settings.VM
 	s.log.Info().Str("event", "started").Str("vm", vm.Name).Str("dataCentre", vm.DataCentre).
@@ -204,6 +212,20 @@
 	return false
 }
 
+// perform carries out an action of the dispatch core. It does not block.
+func (s *Server) perform(action dispatch.Action) {
+	switch action := action.(type) {
+	case dispatch.MigrateStreams:
+		s.startMigrations(action)
+	case dispatch.PublishLedger:
+		s.publishLedger(action)
+	case dispatch.PublishEvidence:
+		s.peers.sendEvidence(action.Evidence)
+	case dispatch.Quarantined:
+		s.quarantines.update(action.Quarantines)
+	}
+}
+
 // publishLedger sends a ledger to the peers and renews the term of this VM as the leader
 // that reads the store for its region, if it is.
 func (s *Server) publishLedger(action dispatch.PublishLedger) {
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -17,6 +17,7 @@
 	moves            *prometheus.CounterVec
 	storeCalls       *prometheus.CounterVec
 	serverChecks     *prometheus.CounterVec
+	quarantined      prometheus.Gauge
 	configVersion    prometheus.Gauge
 }
 
@@ -42,11 +43,14 @@
 		serverChecks: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pimentohinge_server_checks_total", Help: "Checks of servers that closed the connection of a request, by state of the server.",
 		}, []string{"state"}),
+		quarantined: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "pimentohinge_quarantined_segments", Help: "Prompt segments whose requests are refused, as engines crashed on them.",
+		}),
 		configVersion: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "pimentohinge_config_version", Help: "Version of the configuration in force.",
 		}),
 	}
-	m.registry.MustRegister(m.requests, m.firstByteSeconds, m.resumes, m.moves, m.storeCalls, m.serverChecks, m.configVersion)
+	m.registry.MustRegister(m.requests, m.firstByteSeconds, m.resumes, m.moves, m.storeCalls, m.serverChecks, m.quarantined, m.configVersion)
 	return m
 }
 
--- a/internal/ingress/peers.go
+++ b/internal/ingress/peers.go
@@ -60,6 +60,8 @@
 	onConfirmation func(prefix string, confirmation catalog.Confirmation)
 	// onChange is called with the changes that other VMs read in the store.
 	onChange func(catalog.Change)
+	// onEvidence is called with evidence of other VMs about crashes.
+	onEvidence func(dispatch.PeerEvidence)
 	// changeBudget limits the bytes of changes that this VM sends.
 	changeBudget *rate.Limiter
 	// beats numbers messages, so that the reads of other VMs can be dated.
@@ -251,6 +253,9 @@
 	if frame.Ledger != nil {
 		p.receiveLedger(from, frame.Ledger)
 	}
+	if frame.Crashes != nil {
+		p.receiveEvidence(*frame.Crashes)
+	}
 }
 
 // regionPeers returns the reachable VMs of this region.
--- a/internal/ingress/plain.go
+++ b/internal/ingress/plain.go
@@ -101,7 +101,7 @@
 func (s *Server) place(req *request, tried []string, isRetry bool) (dispatch.Placed, outcome.Result, bool) {
 	action, ok := s.loop.call(req.ctx, req.id, dispatch.PlaceRequest{
 		ID: req.id, Service: req.service, Kind: req.route.Kind, PromptTokens: req.params.PromptTokens, ExpectedOutputTokens: req.estimatedOutput(),
-		Excluded: tried, Retry: isRetry,
+		Segments: req.segments, Excluded: tried, Retry: isRetry,
 	})
 	if !ok {
 		s.loop.post(dispatch.RequestEnded{ID: req.id, Verdict: dispatch.Cancelled})
@@ -119,7 +119,7 @@
 			Int64("heardAgoMs", ageMs(action.Load.ReportedAt)).Bool("repeat", isRetry).Msg("")
 		return action, outcome.Result{}, true
 	case dispatch.Refused:
-		out := outcome.Refuse(action.Cause, "")
+		out := outcome.Refuse(action.Cause, action.Detail)
 		out.RetryAt = action.RetryAt
 		return dispatch.Placed{}, out, false
 	}
@@ -175,6 +175,7 @@
 	result.closedByServer = closedByServer(ctx, result.err)
 	var ended dispatch.RequestEnded
 	ended.ID, ended.Verdict = req.id, result.verdict
+	ended.Completed, ended.ClosedByServer = result.succeeded(), result.closedByServer
 	if result.response != nil {
 		ended.Load = result.response.Parsed.Load
 	}
--- a/internal/ingress/servercheck.go
+++ b/internal/ingress/servercheck.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/pimentohinge/pimentohinge/internal/backend"
+	"github.com/pimentohinge/pimentohinge/internal/control/dispatch"
 	"github.com/pimentohinge/pimentohinge/internal/replica"
 	"github.com/pimentohinge/pimentohinge/internal/sleep"
 )
@@ -53,9 +54,10 @@
 		s.metrics.serverChecks.WithLabelValues(state).Inc()
 		s.log.Info().Str("event", "serverCheck").Str("server", server.ID).Str("request", req.params.AttemptID).
 			Str("state", state).Str("reason", reason).Msg("")
+		s.loop.post(dispatch.ServerChecked{Server: server, Running: state == "up"})
 	})
 }
 
 // segmentNames returns the segments of the request's prompt that other requests may
 // share, for log lines.
-func (req *request) segmentNames() string { return strings.Join(req.params.SharedSegments(), ",") }
+func (req *request) segmentNames() string { return strings.Join(req.segments, ",") }
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -89,18 +89,19 @@
 		err := s.relay(st, resp)
 		resp.Close()
 		if err == nil {
-			s.loop.post(dispatch.RequestEnded{ID: req.id, Verdict: dispatch.Served})
+			s.loop.post(dispatch.RequestEnded{ID: req.id, Verdict: dispatch.Served, Completed: true})
 			return outcome.Done(req.events)
 		}
 		if req.cancelled() {
-			return s.interruptStream(st, s.cancelledOutcome(req, true), dispatch.Cancelled)
+			return s.interruptStream(st, s.cancelledOutcome(req, true), dispatch.RequestEnded{Verdict: dispatch.Cancelled})
 		}
-		if closedByServer(req.ctx, err) {
+		ended := dispatch.RequestEnded{Verdict: dispatch.Failed, ClosedByServer: closedByServer(req.ctx, err)}
+		if ended.ClosedByServer {
 			s.checkServer(req, st.currentServer())
 		}
 		resumed, ok := s.resume(st, err)
 		if !ok {
-			return s.interruptStream(st, outcome.Result{Cause: outcome.EngineLost, Detail: eris.ToString(err, false)}, dispatch.Failed)
+			return s.interruptStream(st, outcome.Result{Cause: outcome.EngineLost, Detail: eris.ToString(err, false)}, ended)
 		}
 		resp = resumed
 	}
@@ -108,8 +109,9 @@
 
 // interruptStream reports to the dispatch core that a stream ends before it is complete,
 // and returns its outcome.
-func (s *Server) interruptStream(st *stream, out outcome.Result, verdict dispatch.Verdict) outcome.Result {
-	s.loop.post(dispatch.RequestEnded{ID: st.req.id, Verdict: verdict})
+func (s *Server) interruptStream(st *stream, out outcome.Result, ended dispatch.RequestEnded) outcome.Result {
+	ended.ID = st.req.id
+	s.loop.post(ended)
 	out.Kind = outcome.Interrupted
 	return out
 }
@@ -137,7 +139,7 @@
 		if req.r.Context().Err() != nil {
 			result.verdict = dispatch.Cancelled
 		}
-		ended := dispatch.RequestEnded{ID: req.id, Verdict: result.verdict}
+		ended := dispatch.RequestEnded{ID: req.id, Verdict: result.verdict, ClosedByServer: result.closedByServer}
 		if result.response != nil {
 			ended.Load = result.response.Parsed.Load
 		}
--- a/pkg/wire/wire.go
+++ b/pkg/wire/wire.go
@@ -134,6 +134,28 @@
 	Version int `json:"version"`
 }
 
+// End of a server under requests that waited for their output.
+type Crash struct {
+	// Time since the crash in milliseconds.
+	AgeMs int `json:"ageMs"`
+
+	// Segments of the prompts of the requests, each prompt's in order.
+	Segments []string `json:"segments"`
+
+	// Instance of the server.
+	Server string `json:"server"`
+}
+
+// Crashes of servers and segments that have proven sound. The receiver adds both
+// to what it has.
+type CrashEvidence struct {
+	// Crashes under requests that waited for their output.
+	Crashes []Crash `json:"crashes"`
+
+	// Suspected segments that have proven sound.
+	Sound []SoundSegment `json:"sound"`
+}
+
 // A step in the processing of a request.
 type Event struct {
 	// Cause of the step, if any.
@@ -169,6 +191,9 @@
 	// Change read in the platform's store.
 	Change *Change `json:"change,omitempty,omitzero"`
 
+	// Evidence about prompt segments that crash servers.
+	Crashes *CrashEvidence `json:"crashes,omitempty,omitzero"`
+
 	// Handshake of a peer link.
 	Hello *Hello `json:"hello,omitempty,omitzero"`
 
@@ -701,6 +726,33 @@
 	State Objects `json:"state"`
 }
 
+// Proof that a segment crashes no server.
+type SoundSegment struct {
+	// Time since it has proven sound in milliseconds.
+	AgeMs int `json:"ageMs"`
+
+	// The segment.
+	Segment string `json:"segment"`
+}
+
+// End of a server, as stored in the platform.
+type StoredCrash struct {
+	// Instance of the server.
+	Server string `json:"server"`
+
+	// Time of the crash in Unix milliseconds.
+	UnixMs int `json:"unixMs"`
+}
+
+// Evidence for the quarantine of a prompt segment, as stored in the platform.
+type StoredQuarantine struct {
+	// The crashes that the segment explains, oldest first.
+	Crashes []StoredCrash `json:"crashes"`
+
+	// The segment.
+	Segment string `json:"segment"`
+}
+
 // Informs the VM that served a stream before that the caller has reconnected to
 // another VM, which serves the stream now.
 type StreamTaken struct {
--- a/test/gateway/crash_test.go
+++ b/test/gateway/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -73,6 +74,12 @@
 	disturbed []time.Duration
 }
 
+// crashEngine is a running engine of a crashRun.
+type crashEngine struct {
+	id, address, dataCentre string
+	replica                 *upstream.Replica
+}
+
 // crashFleet is a fleet while a crashRun is played.
 type crashFleet struct {
 	*testEnv
@@ -82,8 +89,7 @@
 
 	mu      sync.Mutex
 	rand    *rand.Rand
-	engines map[string]*upstream.Replica // by address
-	crashes map[string][]time.Duration   // by segment
+	engines map[string]*crashEngine // by address
 	started int
 	sent    []sentRequest
 	wg      sync.WaitGroup
@@ -93,20 +99,22 @@
 // announced until its entry expires, and starts again after run.restartAfter.
 func (f *crashFleet) startEngineAt(id, address, dataCentre string) {
 	host, _, _ := strings.Cut(address, ":")
-	replica, err := f.upstreams.Start(upstream.Options{
+	engine := &crashEngine{id: id, address: address, dataCentre: dataCentre}
+	var err error
+	engine.replica, err = f.upstreams.Start(upstream.Options{
 		ID: id, Address: address, Network: f.network.Host(host),
 		Engine: &upstream.Engine{
 			CapacityTokens: 34000, EventTokens: 4, EventInterval: 30 * time.Millisecond, PromptTokensPerMs: 14, CopyTokensPerMs: 18,
 		},
 		Crashes: func(segments []string) bool { return f.crashingSegment(segments) != "" },
-		OnCrash: func() { f.restart(id, address, dataCentre) },
+		OnCrash: func() { f.restart(engine) },
 	})
 	if err != nil {
 		f.t.Error(err)
 		return
 	}
 	f.mu.Lock()
-	f.engines[address] = replica
+	f.engines[address] = engine
 	f.mu.Unlock()
 	f.store.Set("servers/"+id, object{
 		"service": "engine", "addr": address, "zone": dataCentre, "version": "v1", "slots": 24,
@@ -125,22 +133,40 @@
 }
 
 // restart starts an engine again after a crash.
-func (f *crashFleet) restart(id, address, dataCentre string) {
+func (f *crashFleet) restart(engine *crashEngine) {
+	f.mu.Lock()
+	delete(f.engines, engine.address)
+	f.mu.Unlock()
 	f.wg.Go(func() {
 		entryGone := f.run.restartAfter * 8 / 10
 		time.Sleep(entryGone)
-		f.store.Delete("servers/" + id)
+		f.store.Delete("servers/" + engine.id)
 		time.Sleep(f.run.restartAfter - entryGone)
+		id := engine.id
 		if !f.run.keepsID {
 			f.mu.Lock()
 			f.started++
 			id = fmt.Sprintf("e-%d", f.started)
 			f.mu.Unlock()
 		}
-		f.startEngineAt(id, address, dataCentre)
+		f.startEngineAt(id, engine.address, engine.dataCentre)
 	})
 }
 
+// crashRandomEngine stops an engine for no reason.
+func (f *crashFleet) crashRandomEngine() {
+	f.mu.Lock()
+	addresses := slices.Sorted(maps.Keys(f.engines))
+	if len(addresses) == 0 {
+		f.mu.Unlock()
+		return
+	}
+	engine := f.engines[addresses[f.rand.IntN(len(addresses))]]
+	f.mu.Unlock()
+	engine.replica.Stop()
+	f.restart(engine)
+}
+
 // send sends one request with the given segments to a random VM.
 func (f *crashFleet) send(attempt, crashing string, segments []string) {
 	f.mu.Lock()
@@ -206,7 +232,7 @@
 // play plays a run with the VM and store of env.
 func (env *testEnv) playCrashes(run crashRun) *crashFleet {
 	f := &crashFleet{
-		testEnv: env, run: run, rand: rand.New(rand.NewPCG(run.seed, 0)), engines: map[string]*upstream.Replica{},
+		testEnv: env, run: run, rand: rand.New(rand.NewPCG(run.seed, 0)), engines: map[string]*crashEngine{},
 	}
 	env.vm.Kill()
 	env.vm = nil
@@ -236,8 +262,8 @@
 	for _, vm := range f.vms {
 		vm.server.Kill()
 	}
-	for _, replica := range f.engines {
-		replica.Stop()
+	for _, engine := range f.engines {
+		engine.replica.Stop()
 	}
 	return f
 }
@@ -263,6 +289,13 @@
 			f.cutLastVM(false)
 		})
 	}
+	if f.run.crashWithoutCause > 0 {
+		f.wg.Go(func() {
+			for time.Sleep(f.pause(f.run.crashWithoutCause)); time.Since(f.start) < f.run.length; time.Sleep(f.pause(f.run.crashWithoutCause)) {
+				f.crashRandomEngine()
+			}
+		})
+	}
 	if f.run.killAll > 0 {
 		f.wg.Go(func() {
 			time.Sleep(f.run.killAll)
