test/gateway: random runs with crashing prompt segments

Runs are drawn over data centres, VMs, engines, number, place and rate of segments, the time until an engine is back and whether it keeps its ID; in four of five a VM starts late, is cut off from the store and the others, all VMs are killed, or engines crash for no reason. Checked: at most 3 requests with a segment reach engines later than 4 s after the fifth crash; sound requests are served at least half as often as before and none is refused for a segment; 503 is prompt and never given to a request that ran.

--- a/test/gateway/crash_test.go
+++ b/test/gateway/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -23,6 +24,9 @@
 	// maxLateRequests with the segment may reach engines.
 	maxCrashes      = 5
 	maxLateRequests = 3
+	// crashNetwork is the second byte of the addresses in the first data centre. Callers have
+	// others, so that a cut between VMs does not concern them.
+	crashNetwork = 20
 	// maxRefusalTime is the longest time in which a caller learns that its request is not
 	// run.
 	maxRefusalTime = 150 * time.Millisecond
@@ -239,10 +243,10 @@
 	for d, dataCentre := range run.dataCentres {
 		for i := range run.engines {
 			f.started++
-			f.startEngineAt(fmt.Sprintf("e-%d", f.started), fmt.Sprintf("10.%d.64.%d:80", d+1, i+1), dataCentre)
+			f.startEngineAt(fmt.Sprintf("e-%d", f.started), fmt.Sprintf("10.%d.64.%d:80", crashNetwork+d, i+1), dataCentre)
 		}
 		for i := range run.vms {
-			f.vms = append(f.vms, &crashVM{host: fmt.Sprintf("10.%d.0.%d", d+1, i+1), dataCentre: dataCentre})
+			f.vms = append(f.vms, &crashVM{host: fmt.Sprintf("10.%d.0.%d", crashNetwork+d, i+1), dataCentre: dataCentre})
 		}
 	}
 	for i, vm := range f.vms {
@@ -451,3 +455,51 @@
 		env.playCrashes(incidentRun()).checkCrashes()
 	})
 }
+
+// crashSeeds is the number of random runs; more are played by hand with -crash.seeds.
+var crashSeeds = flag.Int("crash.seeds", 8, "number of random runs with crashing prompt segments")
+
+// randomCrashRun draws a run: VMs, data centres, segments with their places and rates, and
+// VMs that start, are killed or are cut off meanwhile.
+func randomCrashRun(seed uint64) crashRun {
+	rnd := rand.New(rand.NewPCG(seed, 1))
+	seconds := func(low, high float64) time.Duration {
+		return time.Duration((low + rnd.Float64()*(high-low)) * float64(time.Second))
+	}
+	run := crashRun{
+		seed: seed, dataCentres: [][]string{{"a"}, {"a", "b"}, {"a", "b", "c"}, {"a", "d", "b", "c"}}[rnd.IntN(4)],
+		vms: 1 + rnd.IntN(4), engines: 3 + rnd.IntN(4), length: seconds(40, 60), soundInterval: seconds(0.08, 0.4),
+		documents: 2 + rnd.IntN(12), restartAfter: seconds(2, 6), keepsID: rnd.IntN(2) == 0,
+	}
+	for i := range 1 + rnd.IntN(3) {
+		from := seconds(4, 12)
+		run.segments = append(run.segments, crashingSegment{
+			id: fmt.Sprintf("bad%d", i), from: from, until: run.length, interval: seconds(0.15, 2), position: rnd.IntN(3),
+		})
+	}
+	slices.SortFunc(run.segments, func(a, b crashingSegment) int { return int(a.from - b.from) })
+	switch rnd.IntN(5) {
+	case 0:
+		run.lateVM = seconds(6, 25)
+	case 1:
+		run.cutVM, run.cutFor = seconds(6, 15), seconds(3, 10)
+	case 2:
+		run.killAll = seconds(20, 28)
+	case 3:
+		run.crashWithoutCause = seconds(2, 6)
+	}
+	return run
+}
+
+// TestCrashingSegmentsAtRandom plays random runs with crashing prompt segments.
+func TestCrashingSegmentsAtRandom(t *testing.T) {
+	for seed := range uint64(*crashSeeds) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			runTest(t, func(t *testing.T, env *testEnv) {
+				run := randomCrashRun(seed)
+				t.Logf("%+v", run)
+				env.playCrashes(run).checkCrashes()
+			})
+		})
+	}
+}
