ingress: answer 502 when a stream breaks before its first event

Callers whose engine ended before the first event of their stream saw a connection that closed without an answer, or, if the response of the engine had neither a length nor chunks, an empty response with status 200 and the engine's stamp.

Cause: the header of the engine's response was prepared before the first event, and a stream that broke off was always ended by closing the caller's connection. The end of the connection of a response without length or chunks counted as its end even if no event had come.

A response that ends with its connection and has no event has broken off; one that ends after a complete event is complete, and one that ends inside an event, or is reset, is not.

TestStreamsThatEndWithTheirConnection failed before in one of its three cases (200 in place of 502); the other two, and TestBodyEndsWithItsConnection, passed before and keep the users' new lines on responses without length.

--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -84,7 +84,6 @@
 	s.track(st)
 	defer s.untrack(st)
 	s.loop.post(dispatch.ResponseStarted{ID: req.id, Load: resp.Parsed.Load})
-	s.setStreamHeaders(req, resp)
 	for {
 		err := s.relay(st, resp)
 		resp.Close()
@@ -108,10 +107,15 @@
 }
 
 // interruptStream reports to the dispatch core that a stream ends before it is complete,
-// and returns its outcome.
+// and returns its outcome. A caller that has received nothing gets an error response.
 func (s *Server) interruptStream(st *stream, out outcome.Result, ended dispatch.RequestEnded) outcome.Result {
 	ended.ID = st.req.id
 	s.loop.post(ended)
+	if !st.headerSent {
+		out.Kind = outcome.Unknown
+		s.writeRefusal(st.req, out)
+		return out
+	}
 	out.Kind = outcome.Interrupted
 	return out
 }
@@ -191,16 +195,18 @@
 	return nil, attemptResult{response: resp, body: body, mayHaveRun: true, verdict: dispatch.Failed}
 }
 
-// setStreamHeaders prepares the response headers; relay sends them with the first
-// event.
-func (s *Server) setStreamHeaders(req *request, resp *replica.Response) {
+// sendHeader sends the header of a stream to the caller, with its first event.
+func (st *stream) sendHeader(resp *replica.Response) {
+	req := st.req
 	header := req.w.Header()
 	closing := header.Get("Connection")
 	platform.CopyResponseHeaders(header, resp.Header)
 	if closing != "" {
 		header.Set("Connection", closing)
 	}
+	st.headerSent = true
 	req.status = resp.Status
+	req.w.WriteHeader(resp.Status)
 }
 
 // relay forwards complete events to the caller and skips those forwarded before a
@@ -212,7 +218,7 @@
 	for {
 		ev, err := events.next()
 		if errors.Is(err, io.EOF) {
-			return nil
+			return st.endRelay(resp)
 		}
 		if err != nil {
 			return err
@@ -227,9 +233,8 @@
 			return errMissingEvent
 		}
 		if !st.headerSent {
-			st.headerSent = true
 			req.firstByte = time.Now()
-			req.w.WriteHeader(req.status)
+			st.sendHeader(resp)
 		}
 		if _, err := req.w.Write(ev.raw); err != nil {
 			return eris.Wrap(err, "write to caller")
@@ -245,6 +250,19 @@
 	}
 }
 
+// endRelay ends the relay of a response that ended after a complete event. A response that
+// ends with its connection and has no event at all has broken off.
+func (st *stream) endRelay(resp *replica.Response) error {
+	if st.headerSent {
+		return nil
+	}
+	if resp.EndsWithConnection {
+		return io.ErrUnexpectedEOF
+	}
+	st.sendHeader(resp)
+	return nil
+}
+
 // tokensPerEvent is the number of tokens in one event of the request's service.
 func (req *request) tokensPerEvent() int {
 	if engine := req.state.Services[req.service].Engine; engine != nil {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -65,6 +65,9 @@
 	Parsed platform.ResponseHeaders
 	// ContentLength is the length of the body in bytes, or -1.
 	ContentLength int64
+	// EndsWithConnection is set when the body has neither a length nor chunks: the end of
+	// the connection is its end.
+	EndsWithConnection bool
 
 	body     io.ReadCloser
 	exchange *exchange
@@ -253,7 +256,8 @@
 			resp.Close = resp.Close || skipped
 			return &Response{
 				Status: resp.StatusCode, Header: resp.Header, Parsed: parsed,
-				ContentLength: resp.ContentLength, body: resp.Body, exchange: x.setReuse(resp),
+				ContentLength: resp.ContentLength, EndsWithConnection: endsWithConnection(resp),
+				body: resp.Body, exchange: x.setReuse(resp),
 			}, nil
 		}
 		skipped = true
@@ -269,7 +273,7 @@
 
 // setReuse sets the time until which the connection may be reused after the response.
 func (x *exchange) setReuse(resp *http.Response) *exchange {
-	if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+	if resp.Close || endsWithConnection(resp) {
 		x.conn.reusableUntil = time.Time{}
 		return x
 	}
@@ -277,6 +281,10 @@
 	return x
 }
 
+func endsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // readHeader reads the header of the next response that is not an interim one.
 func (x *exchange) readHeader(method string) (*http.Response, error) {
 	x.conn.header.Begin(maxHeaderBytes)
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -386,3 +386,42 @@
 		t.Errorf("check of a server that does not listen: %v", err)
 	}
 }
+
+// TestBodyEndsWithItsConnection reads bodies that have neither a length nor chunks. One
+// whose connection is closed is complete, one whose connection is reset is not.
+func TestBodyEndsWithItsConnection(t *testing.T) {
+	for name, c := range map[string]struct {
+		reset bool
+		want  error
+	}{"closed": {false, nil}, "reset": {true, replica.ErrTruncated}} {
+		t.Run(name, func(t *testing.T) {
+			received := make(chan struct{})
+			server := startReplica(t, func(_ int64, c2 net.Conn, r *bufio.Reader) {
+				if _, err := http.ReadRequest(r); err != nil {
+					return
+				}
+				_, _ = io.WriteString(c2, "HTTP/1.1 200 OK\r\nX-Pimentohinge-Attempt-Id: a1\r\nX-Pimentohinge-Response-Stamp: s\r\n\r\nbody")
+				<-received
+				if c.reset {
+					_ = c2.(*net.TCPConn).SetLinger(0)
+				}
+			})
+			resp, err := replica.New(network.TCP{}).Send(t.Context(), server.address, &replica.Request{Method: http.MethodGet, Target: "/", Host: "h", AttemptID: "a1"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer resp.Close()
+			if !resp.EndsWithConnection {
+				t.Error("EndsWithConnection is not set")
+			}
+			start := make([]byte, 4)
+			if _, err := io.ReadFull(resp, start); err != nil {
+				t.Fatal(err)
+			}
+			close(received)
+			if _, err := io.ReadAll(resp); !errors.Is(err, c.want) {
+				t.Errorf("body ended with %v, want %v", err, c.want)
+			}
+		})
+	}
+}
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -62,8 +62,18 @@
 	SendsEndlessEvent
 	// DripsEndlessEvent is SendsEndlessEvent with one byte per second.
 	DripsEndlessEvent
+	// StreamEndsWithConnection sends a complete stream of RawStreamEvents events that has
+	// neither a length nor chunks.
+	StreamEndsWithConnection
+	// StreamEndsInsideEvent is StreamEndsWithConnection that ends inside its last event.
+	StreamEndsInsideEvent
+	// StreamEndsBeforeEvents is StreamEndsWithConnection without an event.
+	StreamEndsBeforeEvents
 )
 
+// RawStreamEvents is the number of events in a stream of StreamEndsWithConnection.
+const RawStreamEvents = 5
+
 // Options describes a replica.
 type Options struct {
 	// ID is the replica's ID, and Address where it listens on Network.
@@ -289,6 +299,13 @@
 		sendEndless(conn, endlessEventStart(attempt), endlessBlock, 0)
 	case DripsEndlessEvent:
 		sendEndless(conn, endlessEventStart(attempt), 1, time.Second)
+	case StreamEndsWithConnection:
+		_, _ = io.WriteString(conn, rawStream(attempt, RawStreamEvents))
+	case StreamEndsInsideEvent:
+		stream := rawStream(attempt, RawStreamEvents)
+		_, _ = io.WriteString(conn, stream[:len(stream)-1])
+	case StreamEndsBeforeEvents:
+		_, _ = io.WriteString(conn, rawStream(attempt, 0))
 	case CloseDelimited:
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Pimentohinge-Attempt-Id: %s\r\nX-Pimentohinge-Response-Stamp: s\r\n\r\n%s", attempt, body)
 	case SendsExtraResponse:
@@ -301,11 +318,20 @@
 // endlessBlock is the number of bytes in one write of a response without end.
 const endlessBlock = 4096
 
-func endlessEventStart(attempt string) string {
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Pimentohinge-Attempt-Id: %s\r\n"+
-		"X-Pimentohinge-Response-Stamp: s\r\n\r\nid: 1\ndata: ", attempt)
+// rawStream returns the header of an event stream that has neither a length nor chunks, and
+// its events.
+func rawStream(attempt string, events int) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Pimentohinge-Attempt-Id: %s\r\n"+
+		"X-Pimentohinge-Response-Stamp: s\r\n\r\n", attempt)
+	for i := range events {
+		fmt.Fprintf(&b, "id: %d\ndata: %s\n\n", i+1, EventData(attempt, i+1))
+	}
+	return b.String()
 }
 
+func endlessEventStart(attempt string) string { return rawStream(attempt, 0) + "id: 1\ndata: " }
+
 // sendEndless sends start and then blocks of the given size, with a pause before each,
 // until the connection is closed.
 func sendEndless(conn net.Conn, start string, size int, pause time.Duration) {
--- a/test/gateway/stream_test.go
+++ b/test/gateway/stream_test.go
@@ -93,6 +93,36 @@
 	})
 }
 
+// TestStreamsThatEndWithTheirConnection relays streams that have neither a length nor
+// chunks. One that ends inside an event, or without any, has broken off.
+func TestStreamsThatEndWithTheirConnection(t *testing.T) {
+	for name, c := range map[string]struct {
+		fault    upstream.Fault
+		status   int
+		events   int
+		complete bool
+	}{
+		"complete":             {upstream.StreamEndsWithConnection, http.StatusOK, upstream.RawStreamEvents, true},
+		"inside an event":      {upstream.StreamEndsInsideEvent, http.StatusOK, upstream.RawStreamEvents - 1, false},
+		"before the 1st event": {upstream.StreamEndsBeforeEvents, http.StatusBadGateway, 0, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runTest(t, func(t *testing.T, env *testEnv) {
+				env.startReplica("e-1", "engine", "a", &upstream.Engine{
+					CapacityTokens: 34000, EventTokens: 4, EventInterval: 30 * time.Millisecond, PromptTokensPerMs: 14, CopyTokensPerMs: 18,
+				}, everyRequest(c.fault))
+				resp := env.stream(t.Context(), "s0", 50)
+				if resp.status != c.status || len(resp.events) != c.events || (resp.err == nil) != c.complete {
+					t.Errorf("status %d, %d events, %v; want status %d, %d events, complete: %v", resp.status, len(resp.events), resp.err, c.status, c.events, c.complete)
+				}
+				if stamp := resp.header.Get("X-Pimentohinge-Response-Stamp"); (stamp != "") != (c.status == http.StatusOK) {
+					t.Errorf("stamp %q with status %d", stamp, resp.status)
+				}
+			})
+		})
+	}
+}
+
 // TestStreamsMigrateAtShortNotice stops an engine with several streams 1.54 s after its
 // notice. Each stream must continue on another engine without a pause longer than
 // maxPause and without missing or duplicate events.
