ingress: count a stream as begun with its first event, not with its header

Callers saw stream after stream fail at an engine that sends the header of each response and then closes the connection, while another engine could have served them.

Cause: the header counted as a served request, so the engine looked sound and, as it was always idle, drew all streams.

Now the dispatch core is told that a stream has begun when its first event comes.

--- a/internal/control/dispatch/messages.go
+++ b/internal/control/dispatch/messages.go
@@ -49,7 +49,8 @@
 	Retry bool
 }
 
-// ResponseStarted reports the first byte of a response.
+// ResponseStarted reports the first event of a stream. The header of its response says
+// little: a server may send it before it starts to generate.
 type ResponseStarted struct {
 	ID uint64
 	// Load is what the server reported with its response, or nil.
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -83,7 +83,6 @@
 	st := &stream{req: req, runningOn: server, finalResult: make(chan resumePoint, 1), broken: make(chan struct{})}
 	s.track(st)
 	defer s.untrack(st)
-	s.loop.post(dispatch.ResponseStarted{ID: req.id, Load: resp.Parsed.Load})
 	for {
 		err := s.relay(st, resp)
 		resp.Close()
@@ -234,6 +233,7 @@
 		}
 		if !st.headerSent {
 			req.firstByte = time.Now()
+			s.loop.post(dispatch.ResponseStarted{ID: req.id, Load: resp.Parsed.Load})
 			st.sendHeader(resp)
 		}
 		if _, err := req.w.Write(ev.raw); err != nil {
--- a/test/gateway/env_test.go
+++ b/test/gateway/env_test.go
@@ -192,10 +192,13 @@
 }
 
 // startEngine starts a replica of the engine service in a data centre.
-func (env *testEnv) startEngine(id, dataCentre string) {
+func (env *testEnv) startEngine(id, dataCentre string) { env.startFaultyEngine(id, dataCentre, nil) }
+
+// startFaultyEngine starts a replica of the engine service that injects faults.
+func (env *testEnv) startFaultyEngine(id, dataCentre string, fault func(string) upstream.Fault) {
 	env.startReplica(id, "engine", dataCentre, &upstream.Engine{
 		CapacityTokens: 34000, EventTokens: 4, EventInterval: 30 * time.Millisecond, PromptTokensPerMs: 14, CopyTokensPerMs: 18,
-	}, nil)
+	}, fault)
 }
 
 func (env *testEnv) startReplica(id, service, dataCentre string, engine *upstream.Engine, fault func(string) upstream.Fault) {
--- a/test/gateway/stream_test.go
+++ b/test/gateway/stream_test.go
@@ -108,9 +108,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			runTest(t, func(t *testing.T, env *testEnv) {
-				env.startReplica("e-1", "engine", "a", &upstream.Engine{
-					CapacityTokens: 34000, EventTokens: 4, EventInterval: 30 * time.Millisecond, PromptTokensPerMs: 14, CopyTokensPerMs: 18,
-				}, everyRequest(c.fault))
+				env.startFaultyEngine("e-1", "a", everyRequest(c.fault))
 				resp := env.stream(t.Context(), "s0", 50)
 				if resp.status != c.status || len(resp.events) != c.events || (resp.err == nil) != c.complete {
 					t.Errorf("status %d, %d events, %v; want status %d, %d events, complete: %v", resp.status, len(resp.events), resp.err, c.status, c.events, c.complete)
@@ -123,6 +121,25 @@
 	}
 }
 
+// TestEngineThatBreaksStreamsBeforeTheirFirstEvent guards against an engine that sends the
+// header of each response and closes the connection: it looks idle, and must not get
+// streams that another engine could serve.
+func TestEngineThatBreaksStreamsBeforeTheirFirstEvent(t *testing.T) {
+	runTest(t, func(t *testing.T, env *testEnv) {
+		env.startFaultyEngine("e-1", "a", everyRequest(upstream.StreamEndsBeforeEvents))
+		env.startEngine("e-2", "a")
+		broken := 0
+		for _, resp := range env.startStreams(20, 50, 250*time.Millisecond)() {
+			if resp.status != http.StatusOK {
+				broken++
+			}
+		}
+		if broken > 6 {
+			t.Errorf("%d of 20 streams broke at the engine", broken)
+		}
+	})
+}
+
 // TestStreamsMigrateAtShortNotice stops an engine with several streams 1.54 s after its
 // notice. Each stream must continue on another engine without a pause longer than
 // maxPause and without missing or duplicate events.
@@ -313,9 +330,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			runTest(t, func(t *testing.T, env *testEnv) {
-				env.startReplica("e-1", "engine", "a", &upstream.Engine{
-					CapacityTokens: 34000, EventTokens: 4, EventInterval: 30 * time.Millisecond, PromptTokensPerMs: 14, CopyTokensPerMs: 18,
-				}, everyRequest(c.fault))
+				env.startFaultyEngine("e-1", "a", everyRequest(c.fault))
 				began := time.Now()
 				resp := env.stream(t.Context(), "s0", 10)
 				if took := time.Since(began); took < c.min || took > c.max {
