serve: let one request end at most two engines

Cause: an engine that is lost before the first token makes the request start again elsewhere, up to maxAttempts times, whether the engine was only unreachable or was lost while it ran the request. Now at most two engines may be lost while they may have run it; engines that could not be reached do not count.

--- a/internal/caller/relay.go
+++ b/internal/caller/relay.go
@@ -18,6 +18,9 @@
 const (
 	// maxAttempts limits the generations that one request may start.
 	maxAttempts = 4
+	// maxLostEngines limits the engines that may be lost while they ran one request: the
+	// request may be what ends them.
+	maxLostEngines = 2
 	// maxResumes limits the consecutive resumes without a token in between.
 	maxResumes = 5
 	// initialResumeBackoff is the delay before the second resume; it doubles with
@@ -96,6 +99,7 @@
 	attempt    int
 	previous   outcome.Result // outcome of the previous attempt
 	mayHaveRun bool           // an engine may have started a generation
+	lost       int            // engines that were lost while they may have run the request
 }
 
 // run starts generations until the request ends.
@@ -159,8 +163,11 @@
 // another one.
 func (c *modelCall) retry(r *relay, o outcome.Result) bool {
 	c.mayHaveRun = c.mayHaveRun || r.mayHaveRun
+	if r.mayHaveRun && o.Cause == outcome.EngineLost {
+		c.lost++
+	}
 	retry := retriable(o) && (c.out.restartable() || mutation.Enabled(mutation.RestartMidStream)) &&
-		c.attempt < maxAttempts && c.req.r.Context().Err() == nil
+		c.attempt < maxAttempts && c.lost < maxLostEngines && c.req.r.Context().Err() == nil
 	c.s.opts.Broker.AttemptEnded(control.AttemptEnded{ID: c.req.id, Tokens: r.next, Outcome: o, Last: !retry})
 	if !retry {
 		return false
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -130,10 +131,14 @@
 	// Host is the address of the engine's host.
 	Host string
 
-	server *http.Server
-	cancel context.CancelFunc
+	server  *http.Server
+	cancel  context.CancelFunc
+	crashed atomic.Bool
 }
 
+// Crashed reports whether the engine has crashed on a prompt.
+func (e *Engine) Crashed() bool { return e.crashed.Load() }
+
 // Ledger is one plain service of the fleet.
 type Ledger struct {
 	*ledger.Ledger
@@ -262,7 +267,13 @@
 	if f.opts.Engine != nil {
 		f.opts.Engine(&opts)
 	}
-	engine := &Engine{Engine: llm.New(opts), Host: f.newHost()}
+	engine := &Engine{Host: f.newHost()}
+	opts.OnCrash = func() {
+		engine.crashed.Store(true)
+		engine.cancel()
+		_ = engine.server.Close()
+	}
+	engine.Engine = llm.New(opts)
 	addr, server, err := f.serve(engine.Host, engine.Handler())
 	if err != nil {
 		return nil, err
--- a/internal/standin/llm/http.go
+++ b/internal/standin/llm/http.go
@@ -56,6 +56,11 @@
 		writeError(w, status, cause)
 		return
 	}
+	if e.opts.Crashes != nil && e.opts.Crashes(req.Prompt) {
+		_ = http.NewResponseController(w).Flush()
+		e.opts.OnCrash()
+		panic(http.ErrAbortHandler)
+	}
 	e.stream(w, r, req.Generation, gen, 0)
 }
 
--- a/internal/standin/llm/llm.go
+++ b/internal/standin/llm/llm.go
@@ -48,6 +48,10 @@
 	// Length returns the actual output length in tokens; nil means Length of this
 	// package.
 	Length func(wire.GenerateRequest) int
+	// Crashes reports whether the engine crashes when it starts to generate for a prompt;
+	// nil means never. OnCrash must then end the engine.
+	Crashes func(prompt string) bool
+	OnCrash func()
 	// Text returns the text of one token; nil means Text of this package.
 	Text func(generation string, index int) string
 }
