serve: quarantine messages that crash engines

Callers of serve saw engine after engine end when several of them sent one message that crashes engines: all 12 of the test's fleet.

Cause: as in the gateway, the end of an engine was related to nothing that the lost requests held. Now the core of serve has a poison.Tracker too. The segments of a chat are hashes of its messages, those of a completion of its beginning and its whole prompt. A loss counts once the engine's load report cannot be read. Changes go to the VMs of the data centre and to one of each other, which passes them on there; every 3 s a VM sends all evidence to one other, so that a VM that starts learns it. Engines of serve do not say when they started, so an engine counts again 10 s after it was lost.

TestEnginesCrashOnMessage failed before (12 of 12 engines, sound requests refused); now at most 4 engines end, the message is refused with promptQuarantined, and sound requests of the same callers are served at all four VMs. The evidence of serve is not kept in the platform's store: it is lost when all VMs end together.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -40,6 +40,8 @@
 	AttemptEnded(e control.AttemptEnded)
 	// ReportLeaving reports that a backend refused work because it is leaving.
 	ReportLeaving(backend string)
+	// ReportEnded reports that a backend was lost under a request and does not respond.
+	ReportEnded(backend string)
 	// State returns the current configuration.
 	State() *configchain.State
 	// Backend returns the backend with the given name.
--- a/internal/caller/filters.go
+++ b/internal/caller/filters.go
@@ -6,7 +6,9 @@
 	"io"
 	"mime"
 	"net/http"
+	"slices"
 	"sort"
+	"strconv"
 	"strings"
 	"time"
 
@@ -99,6 +101,8 @@
 	stream       bool
 	includeUsage bool
 	class        string
+	// segments identify the parts of the prompt that other requests may share.
+	segments []string
 }
 
 const (
@@ -108,6 +112,8 @@
 	// count them exactly.
 	bytesPerToken     = 4
 	hashedPrefixBytes = 256
+	// maxSegments limits the parts of a prompt that are tracked.
+	maxSegments = 32
 )
 
 // decodeModel decodes a completion or chat request and determines its service.
@@ -161,6 +167,7 @@
 	req.model = modelRequest{
 		prompt: prompt, promptTokens: len(prompt)/bytesPerToken + 1, maxTokens: maxTokens,
 		stream: body.Stream, includeUsage: body.StreamOptions.IncludeUsage, class: control.ClassInteractive,
+		segments: segments(prompt, body.Messages),
 	}
 	if body.ServiceTier == "flex" {
 		req.model.class = control.ClassBatch
@@ -170,6 +177,25 @@
 	return outcome.Result{}, true
 }
 
+// segments returns hashes of the parts of a prompt that other requests may share: the
+// messages of a chat, or else the beginning and the whole of the prompt.
+func segments(prompt string, messages []message) []string {
+	parts := []string{prompt[:min(len(prompt), hashedPrefixBytes)], prompt}
+	if len(messages) > 0 {
+		parts = nil
+		for _, m := range messages[:min(len(messages), maxSegments)] {
+			parts = append(parts, m.Role+":"+string(m.Content))
+		}
+	}
+	var hashes []string
+	for _, part := range parts {
+		if hash := strconv.FormatUint(xxhash.Sum64String(part), 16); !slices.Contains(hashes, hash) {
+			hashes = append(hashes, hash)
+		}
+	}
+	return hashes
+}
+
 func (m modelRequest) prefixHash() uint64 {
 	return xxhash.Sum64String(m.prompt[:min(len(m.prompt), hashedPrefixBytes)])
 }
--- a/internal/caller/relay.go
+++ b/internal/caller/relay.go
@@ -39,6 +39,7 @@
 	call := &modelCall{s: f.s, req: req, place: control.Place{
 		ID: req.id, Workspace: req.workspace.Name, Service: req.service.Name, Class: req.model.class,
 		PromptTokens: req.model.promptTokens, MaxTokens: req.model.maxTokens, Prefix: req.model.prefixHash(),
+		Segments: req.model.segments,
 	}}
 	if !req.model.stream {
 		call.out = &bufferSink{req: req}
@@ -169,6 +170,9 @@
 	retry := retriable(o) && (c.out.restartable() || mutation.Enabled(mutation.RestartMidStream)) &&
 		c.attempt < maxAttempts && c.lost < maxLostEngines && c.req.r.Context().Err() == nil
 	c.s.opts.Broker.AttemptEnded(control.AttemptEnded{ID: c.req.id, Tokens: r.next, Outcome: o, Last: !retry})
+	if r.mayHaveRun && o.Cause == outcome.EngineLost {
+		go c.s.checkEngine(r.backend)
+	}
 	if !retry {
 		return false
 	}
@@ -179,6 +183,16 @@
 	return true
 }
 
+// checkEngine reports an engine that was lost while it may have run a request, if it does
+// not respond any more.
+func (s *Server) checkEngine(engine wire.Backend) {
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	defer cancel()
+	if _, running := s.opts.Engines.LoadReport(ctx, engine.Address); !running {
+		s.opts.Broker.ReportEnded(engine.Name)
+	}
+}
+
 // mergeOutcomes returns the outcome of a request that could not be placed because
 // of refusal, after an attempt that ended with previous, if there was one. It is
 // normally previous, with refusal in its detail, but refusal when nothing ran and
--- a/internal/caller/relay_test.go
+++ b/internal/caller/relay_test.go
@@ -41,6 +41,7 @@
 func (singleBackendBroker) CancelPlace(string)                  {}
 func (singleBackendBroker) AttemptEnded(control.AttemptEnded)   {}
 func (singleBackendBroker) ReportLeaving(string)                {}
+func (singleBackendBroker) ReportEnded(string)                  {}
 func (b singleBackendBroker) State() *configchain.State         { return b.state }
 func (singleBackendBroker) Backend(string) (wire.Backend, bool) { return wire.Backend{}, false }
 func (singleBackendBroker) ReportTakeover(_, _, _ string)       {}
--- a/internal/control/backends.go
+++ b/internal/control/backends.go
@@ -130,6 +130,9 @@
 		return
 	}
 	b.leaving = true
+	if b.lostAs != "" {
+		c.poison.tracker.ServerLeaves(c.now, b.lostAs)
+	}
 	c.logDecision("backend", "backend", name, "state", "leaving", "source", source)
 	for _, vm := range c.otherVMs() {
 		c.sendTo(vm, wire.Frame{Loads: &wire.Loads{Leaving: []string{name}}})
@@ -295,6 +298,9 @@
 	if frame.Loads != nil {
 		c.handleLoads(frame.Loads)
 	}
+	if frame.Crashes != nil {
+		c.mergeEvidence(msg.From, frame)
+	}
 	switch {
 	case frame.Probe != nil:
 		out, changes := c.members.Receive(c.now, msg.From, *frame.Probe)
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -101,6 +101,7 @@
 	nextPoll         time.Time
 	deniedUntil      time.Time // not tried before; set after a denial by the admitter
 	outstanding      int       // requests that this VM has placed and that have not ended
+	lostAs           string    // identity of the instance that was last lost under a request; empty if none was
 	admitter         string    // cache of the admitter, valid while admitterEpoch is Core.epoch
 	admitterEpoch    int
 }
@@ -138,6 +139,7 @@
 	stopping        bool
 	nextRetry       time.Time
 	nextView        time.Time
+	poison          poisonState
 }
 
 // New returns a core whose member list contains only this VM.
@@ -155,7 +157,7 @@
 		state: configchain.Empty(), epoch: 1, usableSets: map[string]rendezvous.Set{}, backends: map[string]*backend{}, byService: map[string][]*backend{},
 		limits: limit.New(), retryBudget: limit.NewRetryBudget(o.RetryPercent),
 		lengths: map[lengthKey]*length.Estimator{}, requests: map[string]*request{},
-		limitedRequests: map[string]string{}, queues: map[string]*queue{},
+		limitedRequests: map[string]string{}, queues: map[string]*queue{}, poison: newPoisonState(o.Self.Name),
 	}
 }
 
@@ -181,6 +183,8 @@
 		c.handleLoadReport(msg)
 	case BackendLeaving:
 		c.markLeaving(msg.Backend, "refused work")
+	case BackendEnded:
+		c.backendEnded(msg.Backend)
 	case PeerConnected:
 		c.applyMembership(nil, c.members.Seed(c.now, []wire.VM{msg.VM}))
 	case PlatformListed:
@@ -217,6 +221,7 @@
 	out, changes := c.members.Tick(c.now)
 	c.applyMembership(out, changes)
 	c.pollEngines()
+	c.publishEvidence()
 	if !c.now.Before(c.nextRetry) {
 		c.nextRetry = c.now.Add(retryInterval)
 		c.expire()
--- a/internal/control/member/member.go
+++ b/internal/control/member/member.go
@@ -407,6 +407,18 @@
 	return names
 }
 
+// DataCentres returns the sorted data centres of the VMs in the table and of this VM.
+func (t *Table) DataCentres() []string {
+	names := []string{t.opts.Self.DataCentre}
+	for _, e := range t.entries {
+		if !slices.Contains(names, e.Vm.DataCentre) {
+			names = append(names, e.Vm.DataCentre)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
 // UsableCount returns the number of usable VMs in the fleet, including this one
 // unless it has left.
 func (t *Table) UsableCount() int {
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -38,6 +38,8 @@
 	MaxTokens int
 	// Prefix is a hash of the beginning of the prompt; 0 means none.
 	Prefix uint64
+	// Segments identify the parts of the prompt that other requests may share.
+	Segments []string
 	// Excluded holds the names of backends that failed this request before.
 	Excluded []string
 	// Retry is true for an attempt after the first one.
@@ -102,6 +104,12 @@
 	Backend string
 }
 
+// BackendEnded reports that a backend was lost under a request and does not respond.
+type BackendEnded struct {
+	// Backend is the backend's name.
+	Backend string
+}
+
 // PlatformListed is the platform's list of backends and entry VMs.
 type PlatformListed struct {
 	// Version is the store's version of the list of backends; 0 means that the
@@ -140,6 +148,7 @@
 func (SendFailed) message()     {}
 func (LoadReported) message()   {}
 func (BackendLeaving) message() {}
+func (BackendEnded) message()   {}
 func (PlatformListed) message() {}
 func (RevisionsRead) message()  {}
 func (Drain) message()          {}
--- a/internal/control/request.go
+++ b/internal/control/request.go
@@ -92,6 +92,9 @@
 	if !serviceFound {
 		return outcome.Refuse(outcome.NotFound, "service "+r.Service)
 	}
+	if o := c.checkQuarantine(r); o.Cause != outcome.None {
+		return o
+	}
 	if r.Retry {
 		if !c.retryBudget.TakeRetry() {
 			return outcome.Refuse(outcome.RetryBudget, fmt.Sprintf("retries may be %d%% of first attempts", c.opts.RetryPercent))
@@ -265,6 +268,7 @@
 		return
 	}
 	delete(c.requests, msg.ID)
+	c.recordSoundness(r, msg)
 	if msg.Last {
 		c.releaseLimit(msg.ID)
 	}
--- a/internal/ingress/evidence.go
+++ b/internal/ingress/evidence.go
@@ -22,7 +22,7 @@
 	if links == nil {
 		return
 	}
-	frame := wire.Frame{Crashes: evidenceToWire(now, evidence)}
+	frame := wire.Frame{Crashes: poison.ToWire(now, evidence)}
 	for _, vm := range receivers {
 		links.Send(vm, frame)
 	}
@@ -34,34 +34,5 @@
 	p.mu.Lock()
 	gathers := p.vms.Gathers(now)
 	p.mu.Unlock()
-	p.onEvidence(dispatch.PeerEvidence{Evidence: evidenceFromWire(now, evidence), PassOn: gathers})
-}
-
-func evidenceToWire(now time.Time, evidence poison.Evidence) *wire.CrashEvidence {
-	out := &wire.CrashEvidence{Crashes: []wire.Crash{}, Sound: []wire.SoundSegment{}}
-	for _, crash := range evidence.Crashes {
-		out.Crashes = append(out.Crashes, wire.Crash{
-			Server: crash.Server, AgeMs: int(now.Sub(crash.At).Milliseconds()), Segments: crash.Segments,
-		})
-	}
-	for _, proof := range evidence.Sound {
-		out.Sound = append(out.Sound, wire.SoundSegment{Segment: proof.Segment, AgeMs: int(now.Sub(proof.At).Milliseconds())})
-	}
-	return out
-}
-
-func evidenceFromWire(now time.Time, evidence wire.CrashEvidence) poison.Evidence {
-	var out poison.Evidence
-	for _, crash := range evidence.Crashes {
-		out.Crashes = append(out.Crashes, poison.Crash{Server: crash.Server, At: timeOfAge(now, crash.AgeMs), Segments: crash.Segments})
-	}
-	for _, proof := range evidence.Sound {
-		out.Sound = append(out.Sound, poison.Proof{Segment: proof.Segment, At: timeOfAge(now, proof.AgeMs)})
-	}
-	return out
-}
-
-// timeOfAge returns the time that lies ageMs milliseconds, at least 0, in the past.
-func timeOfAge(now time.Time, ageMs int) time.Time {
-	return now.Add(-time.Duration(max(0, ageMs)) * time.Millisecond)
+	p.onEvidence(dispatch.PeerEvidence{Evidence: poison.FromWire(now, evidence), PassOn: gathers})
 }
--- a/internal/ingress/quarantine.go
+++ b/internal/ingress/quarantine.go
@@ -148,7 +148,7 @@
 		for _, crash := range value.Crashes {
 			age := now.UnixMilli() - int64(crash.UnixMs)
 			evidence.Crashes = append(evidence.Crashes, poison.Crash{
-				Server: crash.Server, At: timeOfAge(now, int(age)), Segments: []string{value.Segment},
+				Server: crash.Server, At: poison.TimeOfAge(now, int(age)), Segments: []string{value.Segment},
 			})
 		}
 	}
--- a/internal/vm/broker.go
+++ b/internal/vm/broker.go
@@ -64,6 +64,9 @@
 // ReportLeaving implements caller.Broker.
 func (v *VM) ReportLeaving(backend string) { v.enqueue(control.BackendLeaving{Backend: backend}) }
 
+// ReportEnded implements caller.Broker.
+func (v *VM) ReportEnded(backend string) { v.enqueue(control.BackendEnded{Backend: backend}) }
+
 // State implements caller.Broker.
 func (v *VM) State() *configchain.State { return v.config.Load().State }
 
