--- a/test/gateway/crash_test.go
+++ b/test/gateway/crash_test.go
@@ -56,10 +56,20 @@
 	keepsID           bool // an engine starts again with its ID
 	lateVM, cutVM     time.Duration
 	cutFor            time.Duration
+	cut               cutKind
 	killAll           time.Duration
 	crashWithoutCause time.Duration // interval of crashes of random engines; 0 for none
 }
 
+// cutKind says from what the last VM is cut off.
+type cutKind int
+
+const (
+	cutFromAll cutKind = iota
+	cutFromPeers
+	cutFromStore
+)
+
 // sentRequest is a request of a crashRun.
 type sentRequest struct {
 	attempt string
@@ -175,8 +185,9 @@
 func (f *crashFleet) send(attempt, crashing string, segments []string) {
 	f.mu.Lock()
 	i := f.rand.IntN(len(f.vms))
+	running := f.vms[i].server != nil
 	f.mu.Unlock()
-	if f.vms[i].server == nil {
+	if !running {
 		return
 	}
 	at := time.Now()
@@ -273,10 +284,19 @@
 }
 
 func (f *crashFleet) startCrashVM(i int, vm *crashVM) {
-	vm.server = f.newVMIn(vm.dataCentre, fmt.Sprintf("vm-%02d", i), vm.host)
+	server := f.newVMIn(vm.dataCentre, fmt.Sprintf("vm-%02d", i), vm.host)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	vm.server = server
 	vm.disturbed = append(vm.disturbed, time.Since(f.start))
 }
 
+func (f *crashFleet) runningVM(vm *crashVM) *ingress.Server {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return vm.server
+}
+
 // disturb starts a VM late, cuts one off, and kills all, as the run says.
 func (f *crashFleet) disturb() {
 	if f.run.lateVM > 0 {
@@ -304,8 +324,8 @@
 		f.wg.Go(func() {
 			time.Sleep(f.run.killAll)
 			for i, vm := range f.vms {
-				if vm.server != nil {
-					vm.server.Kill()
+				if server := f.runningVM(vm); server != nil {
+					server.Kill()
 					f.startCrashVM(i, vm)
 				}
 			}
@@ -313,13 +333,20 @@
 	}
 }
 
-// cutLastVM cuts the last VM off from the other VMs and the store, or heals the cut.
+// cutLastVM cuts the last VM off as the run says, or heals the cut.
 func (f *crashFleet) cutLastVM(cut bool) {
 	vm := f.vms[len(f.vms)-1]
+	f.mu.Lock()
 	vm.disturbed = append(vm.disturbed, time.Since(f.start))
-	hosts := []string{storeHost}
+	f.mu.Unlock()
+	var hosts []string
+	if f.run.cut != cutFromPeers {
+		hosts = append(hosts, storeHost)
+	}
 	for _, other := range f.vms[:len(f.vms)-1] {
-		hosts = append(hosts, other.host)
+		if f.run.cut != cutFromStore {
+			hosts = append(hosts, other.host)
+		}
 	}
 	for _, host := range hosts {
 		if cut {
@@ -333,9 +360,9 @@
 }
 
 // inTouch reports whether a VM had no disturbance within contactTime before a time and is
-// not cut off.
+// not cut off from the store.
 func (f *crashFleet) inTouch(vm int, at time.Duration) bool {
-	cut := f.run.cutVM > 0 && vm == len(f.vms)-1 && at >= f.run.cutVM && at < f.run.cutVM+f.run.cutFor
+	cut := f.run.cutVM > 0 && f.run.cut != cutFromPeers && vm == len(f.vms)-1 && at >= f.run.cutVM && at < f.run.cutVM+f.run.cutFor
 	return !cut && !slices.ContainsFunc(f.vms[vm].disturbed, func(d time.Duration) bool { return at >= d && at < d+contactTime })
 }
 
@@ -482,7 +509,7 @@
 	case 0:
 		run.lateVM = seconds(6, 25)
 	case 1:
-		run.cutVM, run.cutFor = seconds(6, 15), seconds(3, 10)
+		run.cutVM, run.cutFor, run.cut = seconds(2, 15), seconds(3, 30), cutKind(rnd.IntN(3))
 	case 2:
 		run.killAll = seconds(20, 28)
 	case 3:
