gateway: cancel requests that wait at an engine when their segment is quarantined

Requests that had been sent before their segment was quarantined and waited at an engine still crashed it, with the reports that ran there.

Now the dispatch core cancels open requests with a quarantined segment whose output has not proven it sound. Engines drop a request whose connection closes. The caller is told 502, promptQuarantined, as the request may have run: a cause whose status is 503 is answered with 502 unless the request certainly has not run. The cancelled request counts neither against the engine nor as evidence.

--- a/internal/control/dispatch/messages.go
+++ b/internal/control/dispatch/messages.go
@@ -271,7 +271,12 @@
 // Quarantined reports the segments that are quarantined, after a change.
 type Quarantined struct{ Quarantines []poison.Quarantine }
 
+// CancelRequest ends an open request whose prompt holds a segment that was quarantined after
+// it had been placed.
+type CancelRequest struct{ ID uint64 }
+
 func (PublishEvidence) action() {}
+func (CancelRequest) action()   {}
 func (Quarantined) action()     {}
 func (PublishLedger) action()   {}
 func (Placed) action()          {}
--- a/internal/control/dispatch/poison.go
+++ b/internal/control/dispatch/poison.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/pimentohinge/pimentohinge/internal/control/poison"
@@ -122,10 +124,27 @@
 	return at, true
 }
 
-// reportQuarantines emits the quarantined segments after the evidence has changed.
+// reportQuarantines emits the quarantined segments after the evidence has changed, and
+// cancels the open requests that hold one.
 func (c *Core) reportQuarantines(now time.Time) {
-	if changes := c.poison.tracker.Changes(); changes != c.poison.reportedChanges {
-		c.poison.reportedChanges = changes
-		c.emit(Quarantined{Quarantines: c.poison.tracker.Quarantines(now)})
+	changes := c.poison.tracker.Changes()
+	if changes == c.poison.reportedChanges {
+		return
+	}
+	c.poison.reportedChanges = changes
+	quarantines := c.poison.tracker.Quarantines(now)
+	c.emit(Quarantined{Quarantines: quarantines})
+	if len(quarantines) == 0 {
+		return
 	}
+	for _, id := range slices.Sorted(maps.Keys(c.requests)) {
+		if r := c.requests[id]; !r.sound && holdsAny(r.Segments, quarantines) {
+			c.emit(CancelRequest{ID: id})
+		}
+	}
+}
+
+// holdsAny reports whether one of the segments is quarantined.
+func holdsAny(segments []string, quarantines []poison.Quarantine) bool {
+	return slices.ContainsFunc(quarantines, func(q poison.Quarantine) bool { return slices.Contains(segments, q.Segment) })
 }
--- a/internal/ingress/filters.go
+++ b/internal/ingress/filters.go
@@ -122,7 +122,10 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
 	defer cancel()
+	ctx, cancelCause := context.WithCancelCause(ctx)
+	defer cancelCause(nil)
 	req.ctx = ctx
+	defer s.allowCancel(req, cancelCause)()
 	var out outcome.Result
 	if req.route.Kind == routing.Streaming {
 		out = s.serveStream(req)
@@ -257,8 +260,12 @@
 // writeRefusal sends a problem document in place of a replica's response.
 func (s *Server) writeRefusal(req *request, out outcome.Result) {
 	status := out.Cause.Status()
-	if out.Kind == outcome.NotRun && status >= http.StatusInternalServerError {
+	switch {
+	case out.Kind == outcome.NotRun && status >= http.StatusInternalServerError:
 		status = http.StatusServiceUnavailable
+	case out.Kind != outcome.NotRun && status == http.StatusServiceUnavailable:
+		// 503 would say that the request has not run.
+		status = http.StatusBadGateway
 	}
 	req.status = status
 	if out.Cause == outcome.CallerGone {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -91,6 +91,8 @@
 	drains map[backend.Instance]*serverDrain
 	// checks holds the servers that are being checked.
 	checks map[backend.Instance]bool
+	// cancels holds the functions that cancel open requests with a prompt, by request ID.
+	cancels map[uint64]context.CancelCauseFunc
 
 	quarantines *quarantineStore
 }
@@ -104,7 +106,8 @@
 		opts: opts, log: opts.Log, ctx: ctx, cancel: cancel, pool: replica.New(opts.Network),
 		metrics: newMetrics(), streams: map[uint64]*stream{}, servers: map[string]backend.Server{},
 		requestBodies: readlimit.New(bodyMemory), responseBodies: readlimit.New(bodyMemory),
-		drains: map[backend.Instance]*serverDrain{}, checks: map[backend.Instance]bool{}, successLog: rate.NewLimiter(successLinesPerSecond, 2*successLinesPerSecond),
+		drains: map[backend.Instance]*serverDrain{}, checks: map[backend.Instance]bool{}, cancels: map[uint64]context.CancelCauseFunc{},
+		successLog: rate.NewLimiter(successLinesPerSecond, 2*successLinesPerSecond),
 	}
 	core := dispatch.New(dispatch.Options{
 		VM: opts.Settings.VM.Name, DataCentre: opts.Settings.VM.DataCentre, Regions: opts.Settings.DataCentres,
@@ -223,6 +226,8 @@
 		s.peers.sendEvidence(action.Evidence)
 	case dispatch.Quarantined:
 		s.quarantines.update(action.Quarantines)
+	case dispatch.CancelRequest:
+		s.cancelRequest(action.ID)
 	}
 }
 
--- a/internal/ingress/plain.go
+++ b/internal/ingress/plain.go
@@ -144,8 +144,11 @@
 	if ran {
 		out.Kind = outcome.Unknown
 	}
-	if req.r.Context().Err() != nil {
+	switch {
+	case req.r.Context().Err() != nil:
 		out.Cause = outcome.CallerGone
+	case req.quarantined():
+		out.Cause = outcome.PromptQuarantined
 	}
 	return out
 }
@@ -179,7 +182,7 @@
 	if result.response != nil {
 		ended.Load = result.response.Parsed.Load
 	}
-	if req.r.Context().Err() != nil && result.verdict == dispatch.Failed {
+	if (req.r.Context().Err() != nil || req.quarantined()) && result.verdict == dispatch.Failed {
 		ended.Verdict = dispatch.Cancelled
 	}
 	s.loop.post(ended)
--- a/test/gateway/crash_test.go
+++ b/test/gateway/crash_test.go
@@ -530,3 +530,49 @@
 		})
 	}
 }
+
+// TestWaitingRequestIsCancelledOnQuarantine sends a request that waits at an engine while its
+// segment is quarantined. It must end without having crashed the engine.
+func TestWaitingRequestIsCancelledOnQuarantine(t *testing.T) {
+	runTest(t, func(t *testing.T, env *testEnv) {
+		f := &crashFleet{testEnv: env, run: crashRun{segments: []crashingSegment{{id: "bad1"}}, restartAfter: 20 * time.Second}, engines: map[string]*crashEngine{}}
+		for i := range 4 {
+			f.startEngineAt(fmt.Sprintf("e-%d", i), fmt.Sprintf("10.20.64.%d:80", i+1), "a")
+		}
+		time.Sleep(time.Second)
+		request := func(attempt string, promptTokens int) response {
+			return env.call(t.Context(), http.MethodPost, "/report/x", attempt, http.Header{
+				"X-Pimentohinge-Token-Usage":   {fmt.Sprintf("%d,160", promptTokens)},
+				"X-Pimentohinge-Prompt-Prefix": {"bad1:300,own" + attempt + ":300"},
+			})
+		}
+		var waiting response
+		began := time.Now()
+		var took time.Duration
+		var wg sync.WaitGroup
+		wg.Go(func() {
+			// Two seconds of prefill.
+			waiting = request("waiting", 28_000)
+			took = time.Since(began)
+		})
+		time.Sleep(50 * time.Millisecond)
+		for i := range 3 {
+			request(fmt.Sprintf("s%d", i), 100)
+		}
+		wg.Wait()
+		if waiting.status != http.StatusBadGateway || !strings.Contains(waiting.body, "promptQuarantined") || took > time.Second {
+			t.Errorf("status %d after %v, %s; want 502 promptQuarantined at once", waiting.status, took, waiting.body)
+		}
+		time.Sleep(3 * time.Second)
+		f.mu.Lock()
+		running := len(f.engines)
+		f.mu.Unlock()
+		if running != 1 {
+			t.Errorf("%d engines run, want 1", running)
+		}
+		f.wg.Wait()
+		for _, engine := range f.engines {
+			engine.replica.Stop()
+		}
+	})
+}
