explain: requests that crashed an engine or were refused for their prompt

explain said serverDied for a request whose prompt had crashed its engine, and had no reason for one that was refused or cancelled because of its prompt.

--- a/internal/loganalysis/explain.go
+++ b/internal/loganalysis/explain.go
@@ -33,6 +33,8 @@
 	NoNoticeStoreUnavailable Reason = "noNoticeWhileStoreAway"
 	ServerFailed             Reason = "serverDied"
 	ConnectionBroken         Reason = "connectionBroken"
+	PromptQuarantined        Reason = "promptQuarantined"
+	PromptCrashedEngine      Reason = "promptCrashedEngine"
 	Other                    Reason = "other"
 )
 
@@ -170,6 +172,8 @@
 		e.conclude(VMStopping, noticed, "The VM was stopping and could not have completed the request in time; it did not run.")
 	case outcome.NoReplica:
 		e.conclude(NoServer, true, "No server of the service was available; the request did not run.")
+	case outcome.PromptQuarantined:
+		e.explainQuarantine()
 	case outcome.RetryBudget:
 		e.conclude(RetryBudgetExhausted, true, "A server did not run the request, and the retry budget was exhausted.")
 	case outcome.CallerGone:
@@ -211,6 +215,34 @@
 	e.conclude(NoConfigurationYet, ok, "The VM had started and had no configuration yet.")
 }
 
+// explainQuarantine explains a request with a quarantined segment.
+func (e *explainer) explainQuarantine() {
+	segments := e.requestSegments()
+	line, found := e.findBefore(e.endLine.At, func(line Line) bool {
+		return e.eventOnVM("quarantine")(line) && (len(segments) == 0 || slices.Contains(segments, line.Fields["segment"]))
+	})
+	what := "did not run"
+	if e.endLine.Fields["outcome"] != string(outcome.NotRun) {
+		what = "was cancelled at " + e.result.Server
+	}
+	if !found {
+		e.conclude(PromptQuarantined, false, "A segment of the prompt was quarantined; the request %s. The line that says why is not in these lines.", what)
+		return
+	}
+	e.conclude(PromptQuarantined, true, "%s engines had crashed on segment %s of the prompt, the last one %s; the request %s.",
+		line.Fields["crashes"], line.Fields["segment"], line.Fields["lastServer"], what)
+}
+
+// requestSegments returns the segments that the lines of the request name.
+func (e *explainer) requestSegments() []string {
+	for _, line := range e.requestLines {
+		if segments := line.Fields["segments"]; segments != "" {
+			return strings.Split(segments, ",")
+		}
+	}
+	return nil
+}
+
 func (e *explainer) explainServiceLost() {
 	if detail := e.endLine.Fields["detail"]; strings.HasPrefix(detail, "the replica answered") {
 		e.conclude(ReplicaFailed, true, "%s failed: %s. The request was attempted %s times.", e.result.Server, detail, e.endLine.Fields["attempts"])
@@ -286,6 +318,11 @@
 			e.addEvidence(line)
 		}
 	}
+	if line, ok := e.findQuarantineAfter(brokenAt); ok {
+		e.conclude(PromptCrashedEngine, true, "%s crashed, and the prompt holds segment %s, on which %s engines crashed.",
+			e.result.Server, line.Fields["segment"], line.Fields["crashes"])
+		return
+	}
 	switch {
 	case reportedLater && report.Fields["belief"] == "gone":
 		e.conclude(ServerFailed, true, "%s stopped without a notice; the store removed it %d ms later.", e.result.Server, report.At.Sub(brokenAt).Milliseconds())
@@ -298,6 +335,15 @@
 	}
 }
 
+// findQuarantineAfter returns the line about a quarantine of one of the request's segments
+// that followed.
+func (e *explainer) findQuarantineAfter(brokenAt time.Time) (Line, bool) {
+	segments := e.requestSegments()
+	return e.findAfter(brokenAt, func(line Line) bool {
+		return line.Event == "quarantine" && slices.Contains(segments, line.Fields["segment"]) && line.At.Sub(brokenAt) < maxNoticeDelay
+	})
+}
+
 // storeUnavailable reports whether the request's VM was unable to read the server
 // entries from the store at a time.
 func (e *explainer) storeUnavailable(at time.Time) bool {
--- a/test/gateway/crash_test.go
+++ b/test/gateway/crash_test.go
@@ -531,33 +531,59 @@
 	}
 }
 
+// newCrashEngines starts four engines that crash on segment bad1 and start again after 20 s.
+func (env *testEnv) newCrashEngines() *crashFleet {
+	f := &crashFleet{testEnv: env, run: crashRun{segments: []crashingSegment{{id: "bad1"}}, restartAfter: 20 * time.Second}, engines: map[string]*crashEngine{}}
+	for i := range 4 {
+		f.startEngineAt(fmt.Sprintf("e-%d", i), fmt.Sprintf("10.20.64.%d:80", i+1), "a")
+	}
+	time.Sleep(time.Second)
+	return f
+}
+
+// stop waits until all engines have started again, and stops them.
+func (f *crashFleet) stop() {
+	f.wg.Wait()
+	for _, engine := range f.engines {
+		engine.replica.Stop()
+	}
+}
+
+// requestBad1 sends a request with segment bad1.
+func (env *testEnv) requestBad1(attempt string, promptTokens int) response {
+	return env.call(env.t.Context(), http.MethodPost, "/report/x", attempt, http.Header{
+		"X-Pimentohinge-Token-Usage":   {fmt.Sprintf("%d,160", promptTokens)},
+		"X-Pimentohinge-Prompt-Prefix": {"bad1:300,own" + attempt + ":300"},
+	})
+}
+
+// crashEngines sends requests with segment bad1, one after the other.
+func (env *testEnv) crashEngines(attempts ...string) {
+	f := env.newCrashEngines()
+	for _, attempt := range attempts {
+		env.requestBad1(attempt, 100)
+		time.Sleep(100 * time.Millisecond)
+	}
+	f.stop()
+}
+
 // TestWaitingRequestIsCancelledOnQuarantine sends a request that waits at an engine while its
 // segment is quarantined. It must end without having crashed the engine.
 func TestWaitingRequestIsCancelledOnQuarantine(t *testing.T) {
 	runTest(t, func(t *testing.T, env *testEnv) {
-		f := &crashFleet{testEnv: env, run: crashRun{segments: []crashingSegment{{id: "bad1"}}, restartAfter: 20 * time.Second}, engines: map[string]*crashEngine{}}
-		for i := range 4 {
-			f.startEngineAt(fmt.Sprintf("e-%d", i), fmt.Sprintf("10.20.64.%d:80", i+1), "a")
-		}
-		time.Sleep(time.Second)
-		request := func(attempt string, promptTokens int) response {
-			return env.call(t.Context(), http.MethodPost, "/report/x", attempt, http.Header{
-				"X-Pimentohinge-Token-Usage":   {fmt.Sprintf("%d,160", promptTokens)},
-				"X-Pimentohinge-Prompt-Prefix": {"bad1:300,own" + attempt + ":300"},
-			})
-		}
+		f := env.newCrashEngines()
 		var waiting response
-		began := time.Now()
 		var took time.Duration
 		var wg sync.WaitGroup
 		wg.Go(func() {
+			began := time.Now()
 			// Two seconds of prefill.
-			waiting = request("waiting", 28_000)
+			waiting = env.requestBad1("waiting", 28_000)
 			took = time.Since(began)
 		})
 		time.Sleep(50 * time.Millisecond)
 		for i := range 3 {
-			request(fmt.Sprintf("s%d", i), 100)
+			env.requestBad1(fmt.Sprintf("s%d", i), 100)
 		}
 		wg.Wait()
 		if waiting.status != http.StatusBadGateway || !strings.Contains(waiting.body, "promptQuarantined") || took > time.Second {
@@ -570,9 +596,6 @@
 		if running != 1 {
 			t.Errorf("%d engines run, want 1", running)
 		}
-		f.wg.Wait()
-		for _, engine := range f.engines {
-			engine.replica.Stop()
-		}
+		f.stop()
 	})
 }
--- a/test/gateway/explain_test.go
+++ b/test/gateway/explain_test.go
@@ -97,6 +97,14 @@
 			},
 			diagnosis{loganalysis.ServerFailed, "e-1", false},
 		},
+		"prompt crashes an engine": {
+			func(env *testEnv) { env.crashEngines("s0", "x1", "x2") },
+			diagnosis{loganalysis.PromptCrashedEngine, "e-0", true},
+		},
+		"prompt was quarantined": {
+			func(env *testEnv) { env.crashEngines("x0", "x1", "x2", "s0") },
+			diagnosis{loganalysis.PromptQuarantined, "", true},
+		},
 		"engine ends during a store outage": {
 			func(env *testEnv) {
 				env.startEngine("e-1", "a")
