control/poison: a frequent segment hid a rare one, and a late quarantine was not reported

Found by reading. While a VM settles, a frequent segment with four crashes of the five that it needs ended the search, so that a rare one with three of three was not quarantined. And a quarantine that began because the VM had settled, without new evidence, was neither logged nor stored, and open requests were not cancelled, until the next crash.

The search now passes over segments that do not explain enough, and the number of changes counts such a quarantine.

--- a/internal/control/poison/poison.go
+++ b/internal/control/poison/poison.go
@@ -9,7 +9,8 @@
 // The evidence is a set of crashes, each with the segments of the requests that were lost
 // before they had proven sound, and a set of segments that have proven sound. VMs exchange
 // it and form unions, so that it does not matter how often or in which order it arrives.
-// Which segments are quarantined, and until when, follows from the evidence alone.
+// Which segments are quarantined, and until when, is derived from the evidence and from how
+// many of the VM's requests hold a segment.
 package poison
 
 import (
@@ -119,7 +120,7 @@
 	stale, undecided bool
 	derivedAt        time.Time
 	requests         requestCounts
-	// changes counts the changes of the evidence.
+	// changes counts the changes of the evidence and of the quarantines.
 	changes int
 }
 
@@ -133,7 +134,7 @@
 	}
 }
 
-// Changes counts the changes of the evidence.
+// Changes counts the changes of the evidence and of the quarantines.
 func (t *Tracker) Changes() int { return t.changes }
 
 // RequestArrived counts a request, however often it is sent to a server.
--- a/internal/control/poison/poison_test.go
+++ b/internal/control/poison/poison_test.go
@@ -219,6 +219,36 @@
 	checkQuarantined(t, tracker, at(now+1), bad...)
 }
 
+// TestFrequentSegmentDoesNotHideRareOne lets a frequent segment explain more crashes than a
+// rare one, while the VM settles, but not enough of them. The rare one is quarantined.
+func TestFrequentSegmentDoesNotHideRareOne(t *testing.T) {
+	tracker := poison.New("vm-1")
+	traffic(tracker, at(0), 20)
+	for i := range 3 {
+		crash(tracker, at(float64(i)/10), fmt.Sprint("e", i), "bad")
+	}
+	for i := range 4 {
+		crash(tracker, at(float64(i)/10), fmt.Sprint("f", i), "f0", fmt.Sprint("d", i))
+		tracker.RequestArrived(at(float64(i)/10), []string{"f0"})
+	}
+	checkQuarantined(t, tracker, at(1), "bad")
+}
+
+// TestSettledVMReportsQuarantine checks that a quarantine which begins because the VM has
+// settled, without new evidence, counts as a change.
+func TestSettledVMReportsQuarantine(t *testing.T) {
+	tracker := poison.New("vm-1")
+	for i := range 4 {
+		crash(tracker, at(float64(i)/10), fmt.Sprint("e", i), "bad")
+	}
+	checkQuarantined(t, tracker, at(1))
+	before := tracker.Changes()
+	checkQuarantined(t, tracker, at(7), "bad")
+	if tracker.Changes() == before {
+		t.Error("the quarantine is no change")
+	}
+}
+
 // TestCommonSegmentIsTriedAgainSoon quarantines a segment that nearly all requests hold. It is
 // released much sooner than others, as most requests are refused meanwhile.
 func TestCommonSegmentIsTriedAgainSoon(t *testing.T) {
--- a/internal/control/poison/quarantine.go
+++ b/internal/control/poison/quarantine.go
@@ -59,6 +59,7 @@
 		return
 	}
 	before := t.quarantinedAs
+	evidenceChanged := t.stale
 	t.stale, t.undecided, t.derivedAt = false, false, now
 	t.quarantines, t.quarantinedAs = map[string]Quarantine{}, map[string]candidate{}
 	settling := t.requests.settling(now)
@@ -81,6 +82,9 @@
 	explained := map[*Crash]bool{}
 	t.quarantineAll(others, explained)
 	t.quarantineAll(commonOnes, explained)
+	if !evidenceChanged && len(t.quarantines) != len(before) {
+		t.changes++
+	}
 }
 
 // candidate is a segment that may be quarantined.
@@ -129,19 +133,22 @@
 	return minCrashes
 }
 
-// quarantineAll quarantines candidates as long as one explains enough of the crashes that are
-// not explained yet.
+// quarantineAll quarantines candidates that explain enough of the crashes which are not
+// explained yet, the one that explains most first.
 func (t *Tracker) quarantineAll(candidates []*candidate, explained map[*Crash]bool) {
 	for {
 		var best *candidate
 		for _, c := range candidates {
 			c.crashes = slices.DeleteFunc(c.crashes, func(crash *Crash) bool { return explained[crash] })
+			if len(c.crashes) < c.needed {
+				t.undecided = t.undecided || len(c.crashes) >= minCrashes
+				continue
+			}
 			if best == nil || len(c.crashes) > len(best.crashes) || len(c.crashes) == len(best.crashes) && c.position > best.position {
 				best = c
 			}
-			t.undecided = t.undecided || len(c.crashes) >= minCrashes && len(c.crashes) < c.needed
 		}
-		if best == nil || len(best.crashes) < best.needed {
+		if best == nil {
 			return
 		}
 		t.quarantines[best.segment] = newQuarantine(best)
