--- a/test/faults/table_test.go
+++ b/test/faults/table_test.go
@@ -324,4 +324,5 @@
 | an answer that breaks off halfway counts as complete | happened beyond 16 MiB (internal/service, pkg/client) | happened for error responses to streams beyond 8 MiB (internal/readlimit) |
 | after a restart a server that had left or a withdrawn key is in use again | a VM reads the platform or takes the highest revision of its reachable peers (scenarios startWhilePlatformOut, oldSnapshot); if all that are reachable are behind, so is the VM until it reaches another | no: the first reads are linearizable (test/gateway, restart) |
 | bytes that are no answer come without end | happened in headers and events (internal/engine, internal/service) | happened in headers, interim responses and skipped bodies (internal/replica, test/gateway) |
+| a request that ends its worker is given to one worker after the other | happened: one request ended up to four engines, requests with one message all of them (test/faults, crash) | happened: requests with one prompt segment (test/gateway, crash) |
 `
