--- a/test/gateway/crash_test.go
+++ b/test/gateway/crash_test.go
@@ -542,16 +542,28 @@
 	}
 }
 
-// newCrashEngines starts four engines that crash on segment bad1 and start again after 20 s.
+// newCrashEngines starts four engines that crash on segment bad1 and start again after 20 s,
+// and sends them sound requests for some seconds.
 func (env *testEnv) newCrashEngines() *crashFleet {
 	f := &crashFleet{testEnv: env, run: crashRun{segments: []crashingSegment{{id: "bad1"}}, restartAfter: 20 * time.Second}, engines: map[string]*crashEngine{}}
 	for i := range 4 {
 		f.startEngineAt(fmt.Sprintf("e-%d", i), fmt.Sprintf("10.20.64.%d:80", i+1), "a")
 	}
 	time.Sleep(time.Second)
+	for i := range 16 {
+		env.requireComplete(env.request(fmt.Sprintf("sound%d", i), 100, fmt.Sprint("d", i)), 40)
+	}
 	return f
 }
 
+// request sends a request with a segment.
+func (env *testEnv) request(attempt string, promptTokens int, segment string) response {
+	return env.call(env.t.Context(), http.MethodPost, "/report/x", attempt, http.Header{
+		"X-Pimentohinge-Token-Usage":   {fmt.Sprintf("%d,160", promptTokens)},
+		"X-Pimentohinge-Prompt-Prefix": {segment + ":300,own" + attempt + ":300"},
+	})
+}
+
 // stop waits until all engines have started again, and stops them.
 func (f *crashFleet) stop() {
 	f.wg.Wait()
@@ -562,10 +574,7 @@
 
 // requestBad1 sends a request with segment bad1.
 func (env *testEnv) requestBad1(attempt string, promptTokens int) response {
-	return env.call(env.t.Context(), http.MethodPost, "/report/x", attempt, http.Header{
-		"X-Pimentohinge-Token-Usage":   {fmt.Sprintf("%d,160", promptTokens)},
-		"X-Pimentohinge-Prompt-Prefix": {"bad1:300,own" + attempt + ":300"},
-	})
+	return env.request(attempt, promptTokens, "bad1")
 }
 
 // crashEngines sends requests with segment bad1, one after the other.
