--- /dev/null
+++ b/internal/standin/upstream/raw.go
@@ -0,0 +1,97 @@
+package upstream
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// writeRaw writes a response that net/http cannot produce.
+func (r *Replica) writeRaw(w http.ResponseWriter, attempt, body string, fault Fault) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic("upstream: hijack connection: " + err.Error())
+	}
+	format := func(id, text string) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Pimentohinge-Attempt-Id: %s\r\nX-Pimentohinge-Response-Stamp: s\r\nContent-Length: %d\r\n\r\n%s", id, len(text), text)
+	}
+	switch fault {
+	case TruncatesBody:
+		response := format(attempt, body)
+		_, _ = io.WriteString(conn, response[:len(response)-3])
+	case SendsMalformed:
+		_, _ = io.WriteString(conn, "\x00\x01 no answer\r\n\r\n")
+	case SendsEndlessHeader:
+		sendEndless(conn, "HTTP/1.1 200 OK\r\nX-Name: ", endlessBlock, 0)
+	case SendsEndlessBody:
+		sendEndless(conn, fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Pimentohinge-Attempt-Id: %s\r\nX-Pimentohinge-Response-Stamp: s\r\n\r\n", attempt), endlessBlock, 0)
+	case SendsEndlessEvent:
+		sendEndless(conn, endlessEventStart(attempt), endlessBlock, 0)
+	case DripsEndlessEvent:
+		sendEndless(conn, endlessEventStart(attempt), 1, time.Second)
+	case StreamEndsWithConnection:
+		_, _ = io.WriteString(conn, rawStream(attempt, RawStreamEvents))
+	case StreamEndsInsideEvent:
+		stream := rawStream(attempt, RawStreamEvents)
+		_, _ = io.WriteString(conn, stream[:len(stream)-1])
+	case StreamEndsBeforeEvents:
+		_, _ = io.WriteString(conn, rawStream(attempt, 0))
+	case CloseDelimited:
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Pimentohinge-Attempt-Id: %s\r\nX-Pimentohinge-Response-Stamp: s\r\n\r\n%s", attempt, body)
+	case SendsExtraResponse:
+		r.sendExtra(conn, format(attempt, body), format("ffffffffffffffff", "answer to nobody"), format)
+		return
+	}
+	_ = conn.Close()
+}
+
+// endlessBlock is the number of bytes in one write of a response without end.
+const endlessBlock = 4096
+
+// rawStream returns the header of an event stream that has neither a length nor chunks, and
+// its events.
+func rawStream(attempt string, events int) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Pimentohinge-Attempt-Id: %s\r\n"+
+		"X-Pimentohinge-Response-Stamp: s\r\n\r\n", attempt)
+	for i := range events {
+		fmt.Fprintf(&b, "id: %d\ndata: %s\n\n", i+1, EventData(attempt, i+1))
+	}
+	return b.String()
+}
+
+func endlessEventStart(attempt string) string { return rawStream(attempt, 0) + "id: 1\ndata: " }
+
+// sendEndless sends start and then blocks of the given size, with a pause before each,
+// until the connection is closed.
+func sendEndless(conn net.Conn, start string, size int, pause time.Duration) {
+	_, err := io.WriteString(conn, start)
+	block := []byte(strings.Repeat("x", size))
+	for err == nil {
+		time.Sleep(pause)
+		_, err = conn.Write(block)
+	}
+}
+
+// sendExtra sends a response and, 5 ms later, an unrequested one. It keeps the
+// connection open and serves later requests on it correctly.
+func (r *Replica) sendExtra(conn net.Conn, response, extra string, format func(id, text string) string) {
+	defer func() { _ = conn.Close() }()
+	_, _ = io.WriteString(conn, response)
+	time.Sleep(5 * time.Millisecond)
+	_, _ = io.WriteString(conn, extra)
+	reader := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		attempt := req.Header.Get("X-Pimentohinge-Attempt-Id")
+		r.cluster.recordEnd(r.cluster.recordStart(Run{Attempt: attempt, Replica: r.opts.ID}), 0)
+		_, _ = io.WriteString(conn, format(attempt, ResponseBody(attempt)))
+	}
+}
