--- a/review/lab/client.go
+++ b/review/lab/client.go
@@ -45,6 +45,8 @@
 	Body string
 	// DeadlineMs is how long the caller waits.
 	DeadlineMs int
+	// Key is the API key; Key of this package if it is empty.
+	Key string
 	// PromptTokens and OutputTokens are sent if OutputTokens is not 0.
 	PromptTokens, OutputTokens int
 }
@@ -69,9 +71,13 @@
 	if req.Route.Kind == "safe" {
 		method = http.MethodGet
 	}
+	key := req.Key
+	if key == "" {
+		key = Key
+	}
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "%s %s2f HTTP/1.1\r\nHost: %s\r\nX-Pimentohinge-Attempt-Id: %s\r\n", method, req.Route.Prefix, Host, req.Attempt)
-	fmt.Fprintf(&b, "X-Pimentohinge-Deadline-Ms: %d\r\nAuthorization: Token %s\r\n", req.DeadlineMs, Key)
+	fmt.Fprintf(&b, "X-Pimentohinge-Deadline-Ms: %d\r\nAuthorization: Token %s\r\n", req.DeadlineMs, key)
 	if req.OutputTokens > 0 {
 		fmt.Fprintf(&b, "X-Pimentohinge-Model: m\r\nX-Pimentohinge-Token-Usage: %d,%d\r\n", req.PromptTokens, req.OutputTokens)
 		fmt.Fprintf(&b, "X-Pimentohinge-Prompt-Prefix: 5c1e07a2:48,%s:%d\r\n", req.Attempt, req.PromptTokens-48)
--- a/review/lab/store.go
+++ b/review/lab/store.go
@@ -93,8 +93,20 @@
 	HistoryRoute = Route{Prefix: "/puxa403/", Kind: "safe", Service: PlainService, TimeoutMs: 1500, GoalMs: 200, Priority: 2, MaxRun: 2}
 )
 
-// PutDesiredState writes config/main with the four routes.
+// Tenant is a tenant of the desired state.
+type Tenant struct {
+	Name     string   `json:"name"`
+	APIKeys  []string `json:"apiKeys"`
+	Priority int      `json:"priority"`
+}
+
+// PutDesiredState writes config/main with the four routes and one tenant.
 func (s *Store) PutDesiredState(version int) {
+	s.PutTenants(version, []Tenant{{Name: Workspace, APIKeys: []string{Key}, Priority: 1}})
+}
+
+// PutTenants writes config/main with the four routes and the given tenants.
+func (s *Store) PutTenants(version int, tenants []Tenant) {
 	var routes []map[string]any
 	for _, r := range []Route{ReportRoute, VerdictRoute, IssueRoute, HistoryRoute} {
 		routes = append(routes, map[string]any{
@@ -113,7 +125,7 @@
 			{"name": PlainService, "healthPath": "/healthz", "maxConns": 96, "protocol": "h1", "tls": false},
 		},
 		"limits":  map[string]any{"headerBytes": 16384, "bodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": []map[string]any{{"name": Workspace, "apiKeys": []string{Key}, "priority": 1}},
+		"tenants": tenants,
 	})
 	s.lab.Notef("store acknowledges desired state %d", version)
 }
