--- a/review/lab/engine.go
+++ b/review/lab/engine.go
@@ -34,6 +34,7 @@
 	handles    map[string]*handle // by name
 	lastHandle int
 	mixed      []string
+	twice      []string
 }
 
 // handle is the memory of a run.
@@ -54,6 +55,8 @@
 	// DoublesMove reports whether a second copy of the answer to a move is sent at the point
 	// where the next answer on the same channel is expected. n counts the answers before it.
 	DoublesMove func(attempt string, move, n int) bool
+	// WorksOn makes it go on with a run whose channel is closed.
+	WorksOn bool
 
 	engines *Engines
 	link    sync.Mutex // held while memory moves over its link
@@ -74,6 +77,7 @@
 	// stop is closed when the run stops before its end.
 	stop    chan struct{}
 	stopped bool
+	conn    net.Conn
 	handle  string
 }
 
@@ -142,7 +146,27 @@
 	_ = conn.Close()
 }
 
-// Running returns the attempts of the runs in progress.
+// LoseAnswer resets the channel of one of the replica's runs and returns its attempt.
+func (g *Engine) LoseAnswer() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for attempt, run := range g.runs {
+		g.engines.lab.Notef("the answer to %s at %s is lost after event %d: its channel is reset", attempt, g.ID, run.events)
+		reset(run.conn)
+		return attempt
+	}
+	return ""
+}
+
+// works reports whether the replica works on a run of an attempt.
+func (g *Engine) works(attempt string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	run := g.runs[attempt]
+	return run != nil && !run.stopped
+}
+
+// Running returns the number of runs in progress.
 func (g *Engine) Running() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -318,6 +342,42 @@
 	return name, events
 }
 
+// Twice describes the requests that went on at a replica while the one before still worked
+// on them overlapLimit later.
+func (e *Engines) Twice() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]string(nil), e.twice...)
+}
+
+// overlapLimit is how long the replica before may go on with a request.
+const overlapLimit = 400 * time.Millisecond
+
+// checkOverlap finds out whether another replica still works on a request that has gone on at
+// this one.
+func (g *Engine) checkOverlap(attempt string) {
+	time.Sleep(overlapLimit)
+	e := g.engines
+	e.mu.Lock()
+	var others []*Engine
+	for _, other := range e.byAddress {
+		if other != g {
+			others = append(others, other)
+		}
+	}
+	e.mu.Unlock()
+	for _, other := range others {
+		if !other.works(attempt) {
+			continue
+		}
+		text := fmt.Sprintf("%s went on at %s, and %s still works on it %v later", attempt, g.ID, other.ID, overlapLimit)
+		e.lab.Notef("TWICE %s", text)
+		e.mu.Lock()
+		e.twice = append(e.twice, text)
+		e.mu.Unlock()
+	}
+}
+
 // takeHandle returns the number of prompt and output tokens that a copy holds. A handle can
 // be used once.
 func (g *Engine) takeHandle(from, attempt string) (int, bool) {
@@ -353,8 +413,9 @@
 		}
 		last, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
 		first, toRead = last+1, max(0, promptTokens+last*EventTokens-held)
+		go g.checkOverlap(attempt)
 	}
-	run := &engineRun{attempt: attempt, tokens: promptTokens + (first-1)*EventTokens, events: first - 1, stop: make(chan struct{})}
+	run := &engineRun{attempt: attempt, conn: conn, tokens: promptTokens + (first-1)*EventTokens, events: first - 1, stop: make(chan struct{})}
 	g.mu.Lock()
 	g.runs[attempt] = run
 	g.answers++
@@ -391,7 +452,7 @@
 		if !g.EndsWithChannel {
 			event = fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
 		}
-		if _, err := io.WriteString(conn, event); err != nil {
+		if _, err := io.WriteString(conn, event); err != nil && !g.WorksOn {
 			return err
 		}
 		g.mu.Lock()
