--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -198,8 +198,11 @@
 // freeAddresses returns a loopback IP on which the metrics port is free, and three free
 // ports there.
 func (l *Lab) freeAddresses() (string, [3]int) {
-	for range 100 {
+	for try := range 100 {
 		ip := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), rand.IntN(250), 2+rand.IntN(250))
+		if try == 99 {
+			ip = "127.0.0.1"
+		}
 		metrics, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, metricsPort))
 		if err != nil {
 			continue
