soak: run gateway processes under random faults

New command `pimentohinge soak`: entry VMs of the gateway command as separate processes, in front of stand-ins of the store and of backend servers on loopback addresses. Faults are drawn from a seed: engines that leave, close their listener, shut down in order or ignore new connections, and continue runs whose connections are lost; lost, late and repeated answers; VMs that freeze, are killed, stopped or told to reload; a store that fails; plain servers that stall, refuse and break answers. What callers received and servers ran is checked for TWICE, REFUSED, MIXED, ORDER, DRAIN and LOST, and VMs for their end and memory.

The stand-in of replicas learns to continue a run after its connection has closed, to let copies expire and to shut down in order. No logic of the gateway changes.

internal/soak/check_test.go gives each check a case that breaks its rule.

--- /dev/null
+++ b/internal/soak/faults.go
@@ -0,0 +1,246 @@
+package soak
+
+import (
+	"maps"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/pimentohinge/pimentohinge/internal/standin/store"
+	"github.com/pimentohinge/pimentohinge/internal/standin/upstream"
+)
+
+// weightedFault is a fault and how often it is injected, relative to the others of its
+// profile.
+type weightedFault struct {
+	name   string
+	weight int
+	inject func(*fleet)
+}
+
+// Names of the profiles.
+const (
+	// profileMixed has all faults but endless responses.
+	profileMixed = "mixed"
+	// profileLeaving has engines that leave and continue runs whose connections are lost.
+	profileLeaving = "leaving"
+	// profileStops has planned stops of one VM after the other and nothing else.
+	profileStops = "stops"
+	// profileEndless has backend servers that send responses without end.
+	profileEndless = "endless"
+)
+
+var profiles = map[string][]weightedFault{
+	profileMixed: {
+		{"engineLeaves", 4, (*fleet).engineLeaves},
+		{"engineCrashes", 1, (*fleet).engineCrashes},
+		{"engineRefuses", 1, (*fleet).engineRefuses},
+		{"responsesLost", 6, (*fleet).loseResponses},
+		{"plainFaults", 2, (*fleet).plainFaults},
+		{"vmFreezes", 1, (*fleet).vmFreezes},
+		{"vmKilled", 1, (*fleet).vmKilled},
+		{"vmStops", 1, (*fleet).vmStops},
+		{"vmReloads", 1, func(f *fleet) { f.randomVM().signal(syscall.SIGHUP) }},
+		{"storeFails", 1, (*fleet).storeFails},
+	},
+	profileLeaving: {
+		{"engineLeaves", 2, (*fleet).engineLeaves},
+		{"responsesLost", 4, (*fleet).loseResponses},
+	},
+	profileStops:   {{"vmStops", 1, (*fleet).vmStopsAlone}},
+	profileEndless: {{"endless", 1, (*fleet).endlessResponses}},
+}
+
+// ProfileNames returns the names of the sets of faults.
+func ProfileNames() []string { return slices.Sorted(maps.Keys(profiles)) }
+
+func (f *fleet) randomVM() *vm { return f.vms[f.random.IntN(len(f.vms))] }
+
+// milliseconds returns a random duration.
+func (f *fleet) milliseconds(from, to int) time.Duration {
+	return time.Duration(from+f.random.IntN(to-from)) * time.Millisecond
+}
+
+// openEngines returns the engines that have not been stopped.
+func (f *fleet) openEngines() []*server {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(f.engines), func(s *server) bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.stopped
+	})
+}
+
+// randomEngine returns an engine that does not leave, or nil if few are left.
+func (f *fleet) randomEngine() *server {
+	staying := slices.DeleteFunc(f.openEngines(), (*server).isLeaving)
+	if len(staying) < max(2, f.opts.Engines/2) {
+		return nil
+	}
+	return staying[f.random.IntN(len(staying))]
+}
+
+// engineLeaves announces the end of an engine, in the list, in its responses or both, and
+// ends it some time later. Meanwhile it may refuse new connections, as a server does that
+// shuts down in order, or ignore them. Another engine takes its place, at times at its address.
+func (f *fleet) engineLeaves() {
+	engine := f.randomEngine()
+	if engine == nil || !engine.markLeaving() {
+		return
+	}
+	how := f.random.IntN(4)
+	if how != 0 {
+		engine.announceLeaving()
+	}
+	if how < 2 {
+		engine.replica.SayLeaving()
+	}
+	stopAfter := f.milliseconds(1500, 8000)
+	switch closeAfter := f.milliseconds(100, 2000); f.random.IntN(4) {
+	case 0:
+		time.AfterFunc(closeAfter, engine.network.closeListener)
+	case 1:
+		time.AfterFunc(closeAfter, engine.replica.ShutDown)
+	case 2:
+		time.AfterFunc(closeAfter, engine.network.fillQueue)
+	}
+	number := 0
+	replaceAfter := f.milliseconds(100, 3000)
+	if f.random.IntN(4) == 0 {
+		number, replaceAfter = engine.number, stopAfter+f.milliseconds(50, 2500)
+	}
+	time.AfterFunc(stopAfter, engine.stop)
+	time.AfterFunc(replaceAfter, func() { _ = f.startServer(engineService, number) })
+}
+
+// engineCrashes ends an engine without an announcement.
+func (f *fleet) engineCrashes() {
+	engine := f.randomEngine()
+	if engine == nil || !engine.markLeaving() {
+		return
+	}
+	engine.stop()
+	time.AfterFunc(f.milliseconds(500, 3000), func() { _ = f.startServer(engineService, 0) })
+}
+
+func (f *fleet) engineRefuses() {
+	if engine := f.randomEngine(); engine != nil {
+		engine.replica.RefuseUntil(time.Now().Add(f.milliseconds(100, 2000)))
+	}
+}
+
+// loseResponses closes the connections of some streams whose engines continue with them,
+// more of those of engines that leave.
+func (f *fleet) loseResponses() {
+	for _, engine := range f.openEngines() {
+		oneIn := 12
+		if engine.isLeaving() {
+			oneIn = 3
+		}
+		for _, attempt := range engine.replica.Running() {
+			if f.random.IntN(oneIn) == 0 {
+				engine.replica.LoseResponse(attempt)
+			}
+		}
+	}
+}
+
+// plainFaults makes a plain server stall, refuse or break responses for a while.
+func (f *fleet) plainFaults() {
+	f.mu.Lock()
+	s := f.plain[f.random.IntN(len(f.plain))]
+	f.mu.Unlock()
+	sets := [][]upstream.Fault{
+		{upstream.Hangs},
+		{upstream.Overloaded, upstream.RepeatsRefusal, upstream.RepeatsRefusalWithoutID},
+		{upstream.TruncatesBody, upstream.StopsInHeader, upstream.DropsResponse},
+		{upstream.FailsAsBusy, upstream.InternalError},
+		{upstream.SendsExtraResponse, upstream.SendsMalformed, upstream.CloseDelimited},
+	}
+	s.setFaults(sets[f.random.IntN(len(sets))]...)
+	time.AfterFunc(f.milliseconds(300, 3000), func() { s.setFaults() })
+}
+
+// endlessResponses makes one server of each service send responses without end for a while.
+func (f *fleet) endlessResponses() {
+	f.mu.Lock()
+	plain := f.plain[f.random.IntN(len(f.plain))]
+	f.mu.Unlock()
+	forms := []upstream.Fault{upstream.SendsEndlessHeader, upstream.SendsEndlessBody, upstream.SendsEndlessEvent, upstream.DripsEndlessEvent}
+	plain.setFaults(forms[f.random.IntN(2)])
+	lasts := f.milliseconds(500, 3000)
+	time.AfterFunc(lasts, func() { plain.setFaults() })
+	engine := f.randomEngine()
+	if engine == nil {
+		return
+	}
+	engine.setFaults(forms[f.random.IntN(len(forms))])
+	engine.mu.Lock()
+	engine.endlessMoves = true
+	engine.mu.Unlock()
+	if f.random.IntN(3) == 0 {
+		f.engineLeaves()
+	}
+	time.AfterFunc(lasts, func() {
+		engine.setFaults()
+		engine.mu.Lock()
+		defer engine.mu.Unlock()
+		engine.endlessMoves = false
+	})
+}
+
+func (f *fleet) vmFreezes() {
+	if v, d := f.randomVM(), f.milliseconds(300, 6000); v.begin() {
+		go v.freeze(d)
+	}
+}
+
+func (f *fleet) vmKilled() {
+	if v, pause := f.randomVM(), f.milliseconds(200, 1000); v.begin() {
+		go v.restart(syscall.SIGKILL, pause)
+	}
+}
+
+func (f *fleet) vmStops() {
+	if v, pause := f.randomVM(), f.milliseconds(200, 1000); v.begin() {
+		go v.restart(syscall.SIGTERM, pause)
+	}
+}
+
+// vmStopsAlone stops a VM unless another one is stopping.
+func (f *fleet) vmStopsAlone() {
+	for _, v := range f.vms {
+		if v.isBusy() {
+			return
+		}
+	}
+	f.vmStops()
+}
+
+// storeFails makes the store refuse, ignore or delay all calls for a while.
+func (f *fleet) storeFails() {
+	faults := []store.Faults{
+		{Outage: true},
+		{Unresponsive: true, DelayMs: storeRoundTripMs},
+		{DelayMs: 600},
+		{DropResponses: 5, DelayMs: storeRoundTripMs},
+	}
+	f.store.SetFaults(faults[f.random.IntN(len(faults))])
+	began, lasts := time.Now(), f.milliseconds(300, 6000)
+	f.mu.Lock()
+	f.storeDisturbed = append(f.storeDisturbed, [2]time.Time{began, began.Add(lasts)})
+	f.mu.Unlock()
+	time.AfterFunc(lasts, func() { f.store.SetFaults(store.Faults{DelayMs: storeRoundTripMs}) })
+}
+
+// endFaults ends the faults that last until they are ended.
+func (f *fleet) endFaults() {
+	f.store.SetFaults(store.Faults{DelayMs: storeRoundTripMs})
+	f.mu.Lock()
+	servers := append(slices.Clone(f.engines), f.plain...)
+	f.mu.Unlock()
+	for _, s := range servers {
+		s.setFaults()
+	}
+}
--- a/internal/standin/upstream/move.go
+++ b/internal/standin/upstream/move.go
@@ -24,6 +24,8 @@
 	// MoveResponseRepeated carries the copy out and sends the response once more when the
 	// next request arrives on the connection.
 	MoveResponseRepeated
+	// MoveResponseEndless ignores the call and sends a response without end.
+	MoveResponseEndless
 )
 
 // takeCopy removes and returns the copy with the given handle, if it belongs to the
@@ -88,6 +90,12 @@
 		<-req.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
+	if fault == MoveResponseEndless {
+		conn := hijack(w)
+		defer func() { _ = conn.Close() }()
+		sendEndless(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{\"handle\":\"", endlessBlock, 0)
+		return
+	}
 	resp := r.move(moveReq)
 	switch fault {
 	case MoveResponseLost:
@@ -179,7 +187,7 @@
 		return moveResponse{status: http.StatusServiceUnavailable}
 	}
 	r.mu.Lock()
-	r.copies[handle] = &kvCache{attempt: moveReq.ID, tokens: tokens, stopped: true}
+	r.keep(handle, &kvCache{attempt: moveReq.ID, tokens: tokens, stopped: true})
 	r.mu.Unlock()
 	return moveResponse{status: http.StatusServiceUnavailable, Handle: handle}
 }
@@ -196,6 +204,21 @@
 	if r.opts.Engine == nil || r.used()-earlier+tokens > r.opts.Engine.CapacityTokens {
 		return false
 	}
-	r.copies[handle] = &kvCache{attempt: attempt, tokens: tokens}
+	r.keep(handle, &kvCache{attempt: attempt, tokens: tokens})
 	return true
 }
+
+// keep records a copy until it expires. r.mu must be held.
+func (r *Replica) keep(handle string, copied *kvCache) {
+	r.copies[handle] = copied
+	if r.opts.CopyLifetime == 0 {
+		return
+	}
+	time.AfterFunc(r.opts.CopyLifetime, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.copies[handle] == copied {
+			delete(r.copies, handle)
+		}
+	})
+}
--- a/internal/standin/upstream/notices.go
+++ b/internal/standin/upstream/notices.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"time"
@@ -39,3 +40,9 @@
 		next.ServeHTTP(w, req)
 	})
 }
+
+// ShutDown closes the listener and the idle connections and lets open requests continue
+// until Stop.
+func (r *Replica) ShutDown() {
+	go func() { _ = r.server.Shutdown(context.Background()) }()
+}
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -108,6 +108,11 @@
 	// MoveFault selects the fault for a copy of a run, final if the run stops for it; nil
 	// means none.
 	MoveFault func(attempt string, final bool) MoveFault
+	// KeepsRunning makes a generation continue when the connection of its stream closes.
+	KeepsRunning bool
+	// CopyLifetime is how long a copy of a KV cache is kept after its last change; 0 means
+	// that copies do not expire.
+	CopyLifetime time.Duration
 }
 
 // Replica is one running replica.
@@ -338,13 +343,15 @@
 		maxTokens, _ := strconv.Atoi(usage[1])
 		total = max(1, maxTokens/engine.EventTokens)
 	}
+	from := req.Header.Get("Kv-From")
 	if fault >= SendsEndlessHeader {
+		run.Resumed = from != ""
 		r.cluster.recordEnd(r.cluster.recordStart(run), 0)
 		r.writeRaw(w, run.Attempt, "", fault)
 		return
 	}
 	first, toPrefill := 1, prompt
-	if from := req.Header.Get("Kv-From"); from != "" {
+	if from != "" {
 		_, handle, _ := strings.Cut(from, "/")
 		last, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
 		copied, ok := r.takeCopy(handle, run.Attempt)
@@ -472,11 +479,15 @@
 func (r *Replica) waitFor(req *http.Request, gen *generation, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
+	callerGone := req.Context().Done()
+	if r.opts.KeepsRunning {
+		callerGone = nil
+	}
 	select {
 	case <-t.C:
 	case <-gen.cancelled:
 		panic(http.ErrAbortHandler)
-	case <-req.Context().Done():
+	case <-callerGone:
 		panic(http.ErrAbortHandler)
 	}
 }
