ingress: log why a stream that broke is resumed

The log named a failed dial and, in another line, the resumption, but not what the VM took for the end of the run. Each request to stop a run now writes event=runStop with its result, what follows from it, and how many connections to the server carry other requests of this VM and have not been closed (replica.Pool.OpenInUse).

--- a/internal/control/migration/handover.go
+++ b/internal/control/migration/handover.go
@@ -24,6 +24,11 @@
 	ServerGone
 )
 
+var stopResultNames = [...]string{"unknown", "busy", "copied", "inPlace", "noRun", "unreachable", "refused"}
+
+// String returns the name of the result.
+func (r StopResult) String() string { return stopResultNames[r] }
+
 // ResumeFrom says where a stream whose response broke off continues.
 type ResumeFrom int
 
@@ -42,6 +47,11 @@
 	Nowhere
 )
 
+var resumeFromNames = [...]string{"askAgain", "finalCopy", "sourceServer", "earlierCopy", "nowhere"}
+
+// String returns the name of the place.
+func (r ResumeFrom) String() string { return resumeFromNames[r] }
+
 // Handover decides when a stream whose response broke off may continue elsewhere. A server
 // that closes a connection may go on with the run, so a stream is resumed only once the
 // run has certainly ended: another server would otherwise work on it at the same time.
--- a/internal/ingress/handover.go
+++ b/internal/ingress/handover.go
@@ -192,7 +192,10 @@
 	target := s.finalTarget(st, latest)
 	move, err := s.requestCopy(ctx, st, latest.source, target, true)
 	kvRef := platform.KVRef{Address: latest.source.Address, Handle: move.Handle}
-	next := handover.Next(time.Now(), stopResult(move, err))
+	result := stopResult(move, err)
+	next := handover.Next(time.Now(), result)
+	s.log.Info().Str("event", "runStop").Str("request", st.req.params.AttemptID).Str("server", latest.source.ID).Str("result", result.String()).
+		Str("next", next.String()).Int("openConnections", s.pool.OpenInUse(latest.source.Address)).Msg("")
 	switch next {
 	case migration.FinalCopy:
 		return resumePoint{server: target, kvRef: kvRef, ok: true, stopped: true}, next
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -96,13 +96,17 @@
 type Pool struct {
 	network network.Network
 
-	mu     sync.Mutex
-	idle   map[string][]*conn // by address, most recently used last
+	mu   sync.Mutex
+	idle map[string][]*conn // by address, most recently used last
+	// inUse holds the connections that carry a request, by address.
+	inUse  map[string]map[*conn]bool
 	opened int64
 }
 
 // New returns a pool that dials on the network n.
-func New(n network.Network) *Pool { return &Pool{network: n, idle: map[string][]*conn{}} }
+func New(n network.Network) *Pool {
+	return &Pool{network: n, idle: map[string][]*conn{}, inUse: map[string]map[*conn]bool{}}
+}
 
 // ConnectionsOpened returns the number of connections opened so far.
 func (p *Pool) ConnectionsOpened() int64 {
@@ -111,6 +115,38 @@
 	return p.opened
 }
 
+// OpenInUse returns the number of connections to an address that carry a request and that
+// the replica has not closed.
+func (p *Pool) OpenInUse(address string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	open := 0
+	for c := range p.inUse[address] {
+		if !c.closedByPeer() {
+			open++
+		}
+	}
+	return open
+}
+
+func (p *Pool) setInUse(address string, c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.inUse[address] == nil {
+		p.inUse[address] = map[*conn]bool{}
+	}
+	p.inUse[address][c] = true
+}
+
+func (p *Pool) endUse(address string, c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.inUse[address], c)
+	if len(p.inUse[address]) == 0 {
+		delete(p.inUse, address)
+	}
+}
+
 // CloseIdle closes the idle connections to an address, which may now belong to
 // another replica.
 func (p *Pool) CloseIdle(address string) {
@@ -230,6 +266,7 @@
 		return nil, notSent(address, err)
 	}
 	x := &exchange{pool: p, address: address, conn: c, writeResult: make(chan error, 1)}
+	p.setInUse(address, c)
 	x.detachContext = context.AfterFunc(ctx, func() { _ = c.Close() })
 	go func() {
 		_, err := c.Write(req.bytes())
@@ -350,6 +387,7 @@
 		return
 	}
 	x.done = true
+	x.pool.endUse(x.address, x.conn)
 	if !x.detachContext() || !time.Now().Before(x.conn.reusableUntil) || x.conn.reader.Buffered() > 0 {
 		_ = x.conn.Close()
 		return
@@ -392,6 +430,7 @@
 		return
 	}
 	x.done = true
+	x.pool.endUse(x.address, x.conn)
 	x.detachContext()
 	_ = x.conn.Close()
 }
