--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -41,6 +41,10 @@
 	rule    rule
 }
 
+// endlessTimeout is how long callers wait for a stream when servers send responses without
+// end, which the VMs cannot tell from slow ones.
+const endlessTimeout = 10 * time.Second
+
 // outcome names what came of the request.
 func (rec record) outcome() string {
 	switch {
@@ -117,6 +121,9 @@
 	switch n := c.random.IntN(10); {
 	case n < 4:
 		rec.kind, path, timeout, events = kindStream, streamPath, streamTimeoutMs*time.Millisecond, 3+c.random.IntN(250)
+		if c.fleet.opts.Profile == profileEndless {
+			timeout = endlessTimeout
+		}
 	case n < 8:
 		rec.kind, path = kindUnsafe, unsafePath
 	case n < 9:
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -99,7 +99,7 @@
 	stopAfter := f.milliseconds(1500, 8000)
 	switch closeAfter := f.milliseconds(100, 2000); f.random.IntN(4) {
 	case 0:
-		time.AfterFunc(closeAfter, engine.network.closeListener)
+		time.AfterFunc(closeAfter, engine.replica.CloseListener)
 	case 1:
 		time.AfterFunc(closeAfter, engine.replica.ShutDown)
 	case 2:
--- a/internal/soak/listener.go
+++ b/internal/soak/listener.go
@@ -11,7 +11,7 @@
 )
 
 // listenNetwork is the network of one backend server. It keeps the server's listener, which
-// may refuse or ignore new connections while open ones continue.
+// may ignore new connections while open ones continue.
 type listenNetwork struct {
 	network.TCP
 
@@ -39,9 +39,6 @@
 	return n.listener, nil
 }
 
-// closeListener makes the operating system refuse new connections.
-func (n *listenNetwork) closeListener() { _ = n.listener.Close() }
-
 // maxFill bounds the connections that are opened to fill the queue.
 const maxFill = 8
 
--- a/internal/standin/upstream/notices.go
+++ b/internal/standin/upstream/notices.go
@@ -41,6 +41,9 @@
 	})
 }
 
+// CloseListener closes the listener; open connections stay open.
+func (r *Replica) CloseListener() { _ = r.listener.Close() }
+
 // ShutDown closes the listener and the idle connections and lets open requests continue
 // until Stop.
 func (r *Replica) ShutDown() {
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -117,9 +117,10 @@
 
 // Replica is one running replica.
 type Replica struct {
-	opts    Options
-	cluster *Cluster
-	server  *http.Server
+	opts     Options
+	cluster  *Cluster
+	server   *http.Server
+	listener net.Listener
 
 	copySlot chan struct{} // holds an element while a copy to another replica runs
 
@@ -155,11 +156,11 @@
 
 // Start starts a replica and adds it to the cluster.
 func (c *Cluster) Start(opts Options) (*Replica, error) {
-	replica := &Replica{opts: opts, cluster: c, active: map[string]*generation{}, copies: map[string]*kvCache{}, copySlot: make(chan struct{}, 1)}
 	ln, err := opts.Network.Listen(opts.Address)
 	if err != nil {
 		return nil, err
 	}
+	replica := &Replica{opts: opts, cluster: c, listener: ln, active: map[string]*generation{}, copies: map[string]*kvCache{}, copySlot: make(chan struct{}, 1)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/kv-move", replica.handleMove)
 	mux.HandleFunc("DELETE /v1/kv-handle/{handle}", replica.handleDrop)
--- /dev/null
+++ b/test/gateway/faileddial_test.go
@@ -0,0 +1,122 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pimentohinge/pimentohinge/internal/network"
+	"github.com/pimentohinge/pimentohinge/internal/standin/upstream"
+)
+
+// ignoringNetwork is the network of a VM on which connections to some addresses get no answer,
+// as when the queue of new connections is full.
+type ignoringNetwork struct {
+	network.Network
+
+	mu      sync.Mutex
+	ignored map[string]bool
+}
+
+func (n *ignoringNetwork) ignore(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.ignored[address] = true
+}
+
+// Dial opens a connection, or waits until the context ends.
+func (n *ignoringNetwork) Dial(ctx context.Context, address string) (net.Conn, error) {
+	n.mu.Lock()
+	ignored := n.ignored[address]
+	n.mu.Unlock()
+	if ignored {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return n.Network.Dial(ctx, address)
+}
+
+// TestFailedDialIsNotTheEndOfARun guards against TWICE: a leaving engine takes no new
+// connections any more, but continues the runs on those that are open. Streams whose
+// connections are lost meanwhile must not run at two engines, and those that are not lost, or
+// whose engine ends, must complete.
+func TestFailedDialIsNotTheEndOfARun(t *testing.T) {
+	const events, streams, lost = 300, 5, 3
+	for _, how := range []string{"refused", "ignored", "shutDown"} {
+		for _, lostAfter := range []time.Duration{1300, 2200, 2450, 3200} {
+			t.Run(fmt.Sprintf("%s/after%d", how, lostAfter), func(t *testing.T) {
+				runTest(t, func(_ *testing.T, env *testEnv) {
+					var vmNetwork *ignoringNetwork
+					env.vm.Kill()
+					env.wrapNetwork = func(n network.Network) network.Network {
+						vmNetwork = &ignoringNetwork{Network: n, ignored: map[string]bool{}}
+						return vmNetwork
+					}
+					env.startVM()
+					env.startReplicaWith("e-1", "engine", "a", upstream.Options{Engine: testEngine(), KeepsRunning: true})
+					wait := env.startStreams(streams, events, 20*time.Millisecond)
+					env.startEngine("e-2", "a")
+					env.startEngine("e-3", "a")
+					time.Sleep(time.Second)
+					env.announceLeaving("e-1")
+					time.Sleep(firstCopiesDone)
+					switch how {
+					case "refused":
+						env.replicas["e-1"].CloseListener()
+					case "ignored":
+						vmNetwork.ignore(env.replicas["e-1"].Address())
+					case "shutDown":
+						env.replicas["e-1"].ShutDown()
+					}
+					time.Sleep(lostAfter*time.Millisecond - firstCopiesDone)
+					for i := range lost {
+						env.replicas["e-1"].LoseResponse(fmt.Sprintf("s%d", i))
+					}
+					for i, resp := range wait() {
+						env.checkNoRestartOrOverlap(fmt.Sprintf("s%d", i))
+						if i >= lost {
+							env.requireComplete(resp, events)
+						}
+					}
+				})
+			})
+		}
+	}
+}
+
+// TestStreamsOfEndedEngineAreResumed checks that the streams of a leaving engine are resumed
+// at once when it ends, also if it had closed its listener before.
+func TestStreamsOfEndedEngineAreResumed(t *testing.T) {
+	const events, streams = 300, 4
+	const maxPause = 180 * time.Millisecond
+	for _, closesListener := range []bool{false, true} {
+		for _, endsAfter := range []time.Duration{1500, 1700, 2100, 2300} {
+			t.Run(fmt.Sprintf("closesListener=%v/after%d", closesListener, endsAfter), func(t *testing.T) {
+				runTest(t, func(t *testing.T, env *testEnv) {
+					env.startEngine("e-1", "a")
+					wait := env.startStreams(streams, events, 20*time.Millisecond)
+					env.startEngine("e-2", "a")
+					env.startEngine("e-3", "a")
+					time.Sleep(time.Second)
+					env.announceLeaving("e-1")
+					time.Sleep(firstCopiesDone)
+					if closesListener {
+						env.replicas["e-1"].CloseListener()
+					}
+					time.Sleep(endsAfter*time.Millisecond - firstCopiesDone)
+					env.replicas["e-1"].Stop()
+					for i, resp := range wait() {
+						env.requireComplete(resp, events)
+						env.checkNoRestartOrOverlap(fmt.Sprintf("s%d", i))
+						if resp.longestPause > maxPause {
+							t.Errorf("stream %d paused for %v", i, resp.longestPause)
+						}
+					}
+				})
+			})
+		}
+	}
+}
