ingress: a server that refuses connections may serve open ones, which is no crash

Callers whose requests were sound were refused for five minutes by all VMs (503 promptQuarantined). A server that had closed the connection of a request was taken for ended if it could not be connected to; three such ends with a common prompt segment quarantine the segment. Servers that shut down in order without an announcement close their listener and go on with the runs on open connections: the same cause as the fault before.

The check now asks whether other requests of this VM are open at the server; if so, it runs. TestClosedListenerIsNoCrash failed before: three of three checks took an engine for ended, and a request with the segment got 503. The tests of crashing segments pass.

--- a/internal/ingress/servercheck.go
+++ b/internal/ingress/servercheck.go
@@ -46,7 +46,11 @@
 		}
 		state, reason := "up", ""
 		if err := s.pool.Check(s.ctx, server.Address); err != nil {
-			state, reason = "down", eris.ToString(err, false)
+			reason = eris.ToString(err, false)
+			// A server that takes no new connections may continue on those that are open.
+			if s.pool.OpenInUse(server.Address) == 0 {
+				state = "down"
+			}
 		}
 		if s.ctx.Err() != nil {
 			return
--- a/test/gateway/faileddial_test.go
+++ b/test/gateway/faileddial_test.go
@@ -120,3 +120,34 @@
 		}
 	}
 }
+
+// TestClosedListenerIsNoCrash guards against sound requests that are refused: engines close
+// their listeners, lose a stream with the same prompt segment each and go on with others.
+func TestClosedListenerIsNoCrash(t *testing.T) {
+	runTest(t, func(t *testing.T, env *testEnv) {
+		const segment = "5ea1"
+		for i := range 4 {
+			id := fmt.Sprintf("e-%d", i)
+			env.startEngine(id, "a")
+			go env.request(fmt.Sprintf("open-%d", i), 500, fmt.Sprintf("0%d", i))
+			lost := fmt.Sprintf("lost-%d", i)
+			go env.request(lost, 500, segment)
+			time.Sleep(100 * time.Millisecond)
+			env.replicas[id].CloseListener()
+			if !env.replicas[id].LoseResponse(lost) {
+				t.Errorf("%s was not sent to %s", lost, id)
+			}
+			time.Sleep(2 * time.Second)
+			env.replicas[id].Stop()
+			env.store.Delete("servers/" + id)
+			time.Sleep(100 * time.Millisecond)
+		}
+		env.startEngine("e-last", "a")
+		if resp := env.request("after", 500, segment); resp.status != 200 {
+			t.Errorf("status %d for a request whose segment crashes no engine", resp.status)
+		}
+		if n := env.logs.count("event=serverCheck"); n == 0 || env.logs.count("state=down") > 0 {
+			t.Errorf("of %d checks %d took an engine for ended", n, env.logs.count("state=down"))
+		}
+	})
+}
