ingress: all unfinished events share the memory for bodies

A VM could run out of memory, and with it all its requests: each open stream may buffer an event of 256 KiB, without a common bound. An engine that holds 200 streams in an event of 250 kB each took 50 MB of a VM of 64 MB; a whole event of that size was bounded, all of them were not.

Events of more than 4 KiB now take memory of the budget for response bodies (a sixth of the VM's memory) until the next event is read. A stream that gets none is broken off like one whose event is too long.

TestLongEventsOfManyStreamsAreBounded failed before with all 200 streams held, 44 fit.

--- a/internal/ingress/export_test.go
+++ b/internal/ingress/export_test.go
@@ -1,11 +1,15 @@
 package ingress
 
-import "io"
+import (
+	"io"
+
+	"github.com/pimentohinge/pimentohinge/internal/readlimit"
+)
 
 // ReadEvents returns the IDs of the complete events of a stream, the bytes of all
 // complete events and the error that ended the stream.
 func ReadEvents(r io.Reader) (ids []int64, raw []byte, err error) {
-	events := newEventReader(r)
+	events := newEventReader(r, readlimit.New(1<<20))
 	for {
 		ev, err := events.next()
 		if err != nil {
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -203,7 +203,8 @@
 // resume. It returns nil at the end of a complete stream.
 func (s *Server) relay(st *stream, resp *replica.Response) error {
 	req := st.req
-	events := newEventReader(resp)
+	events := newEventReader(resp, s.responseBodies)
+	defer events.close()
 	rc := http.NewResponseController(req.w)
 	for {
 		ev, err := events.next()
--- a/internal/standin/upstream/raw.go
+++ b/internal/standin/upstream/raw.go
@@ -38,6 +38,9 @@
 		sendEndless(conn, endlessEventStart(attempt), endlessBlock, 0)
 	case DripsEndlessEvent:
 		sendEndless(conn, endlessEventStart(attempt), 1, time.Second)
+	case HoldsLongEvent:
+		_, _ = io.WriteString(conn, endlessEventStart(attempt)+strings.Repeat("x", LongEventBytes))
+		_, _ = io.Copy(io.Discard, conn)
 	case StreamEndsWithConnection:
 		_, _ = io.WriteString(conn, rawStream(attempt, RawStreamEvents))
 	case StreamEndsInsideEvent:
--- a/test/gateway/responses_test.go
+++ b/test/gateway/responses_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -104,3 +105,29 @@
 		}
 	})
 }
+
+// TestLongEventsOfManyStreamsAreBounded guards against a VM that runs out of memory: an engine
+// holds each of many streams in an event just below the limit of one event. All events
+// together must stay within the memory for bodies, and other requests must be served.
+func TestLongEventsOfManyStreamsAreBounded(t *testing.T) {
+	const streams = 200
+	const bodyMemory = 64 << 20 / 6
+	runTest(t, func(t *testing.T, env *testEnv) {
+		env.startFaultyEngine("e-1", "a", func(string) upstream.Fault { return upstream.HoldsLongEvent })
+		env.startPlain("p-1", nil)
+		var ended atomic.Int64
+		for i := range streams {
+			go func() {
+				env.call(t.Context(), http.MethodPost, "/report/x", fmt.Sprintf("s%d", i), http.Header{"X-Pimentohinge-Token-Usage": {"10,40"}})
+				ended.Add(1)
+			}()
+		}
+		time.Sleep(5 * time.Second)
+		if held := streams - ended.Load(); held > bodyMemory/upstream.LongEventBytes {
+			t.Errorf("%d streams with %d bytes each are held, which exceeds %d bytes", held, upstream.LongEventBytes, bodyMemory)
+		}
+		if resp := env.call(t.Context(), http.MethodPost, "/unsafe/x", "order", nil); resp.status != http.StatusOK {
+			t.Errorf("status %d for a request to another service", resp.status)
+		}
+	})
+}
