readlimit: long bodies do not keep short ones out

Requests failed with 502 although their servers answered whole: two servers that send bodies without end exhaust the memory for bodies, and each other body then got none, also one of 800 bytes. The first 4 KiB of a body are now granted (and counted) in any case, and a body takes no more memory than its limit; before, one of 8 MiB took 16.

TestLongBodiesDoNotKeepShortOnesOut and TestBodyAtItsLimitTakesLittleMore failed before. The soak makes two servers of each service faulty at once, and holds streams in long events.

--- a/internal/readlimit/readlimit.go
+++ b/internal/readlimit/readlimit.go
@@ -88,8 +88,20 @@
 	}
 }
 
-// readBlock is the size of the blocks in which a body is read and reserved.
-const readBlock = 4 << 10
+// GrantedBytes is the size up to which a body gets memory also when the budget is exhausted,
+// so that long bodies do not keep short ones out.
+const GrantedBytes = 4 << 10
+
+// grow reserves the memory for a body that grows from one size to another. It reports false
+// when the budget would be exceeded.
+func (r *Reservation) grow(from, to int64) bool {
+	if to <= GrantedBytes {
+		r.budget.used.Add(to - from)
+		r.bytes += to - from
+		return true
+	}
+	return r.Add(to - from)
+}
 
 // ReadAll reads body to its end and reserves its bytes. length is the announced length in
 // bytes, or negative. The error is ErrBodyTooLong for a body of more than limit bytes and
@@ -102,15 +114,16 @@
 	}
 	if length >= 0 {
 		// One byte more, so that the end is found without another block.
-		if !r.Add(length + 1) {
+		if !r.grow(0, length+1) {
 			return nil, ErrBudgetExhausted
 		}
 		out = make([]byte, 0, length+1)
 	}
 	for {
 		if len(out) == cap(out) {
-			grown := max(readBlock, 2*cap(out))
-			if !r.Add(int64(grown - cap(out))) {
+			// One byte beyond the limit shows that a body is too long.
+			grown := min(max(GrantedBytes, 2*cap(out)), int(limit)+1)
+			if !r.grow(int64(cap(out)), int64(grown)) {
 				return out, ErrBudgetExhausted
 			}
 			out = append(make([]byte, 0, grown), out...)
--- a/internal/readlimit/readlimit_test.go
+++ b/internal/readlimit/readlimit_test.go
@@ -73,3 +73,35 @@
 		})
 	}
 }
+
+// TestLongBodiesDoNotKeepShortOnesOut guards against requests that fail because other
+// servers send bodies without end.
+func TestLongBodiesDoNotKeepShortOnesOut(t *testing.T) {
+	budget := readlimit.New(64 << 10)
+	long := budget.Reserve()
+	if _, err := long.ReadAll(endless{}, -1, 1<<20); !errors.Is(err, readlimit.ErrBudgetExhausted) {
+		t.Fatalf("error %v", err)
+	}
+	for _, length := range []int64{-1, 800} {
+		reservation := budget.Reserve()
+		if body, err := reservation.ReadAll(strings.NewReader(strings.Repeat("x", 800)), length, 1<<20); err != nil || len(body) != 800 {
+			t.Errorf("announced %d: read %d bytes, error %v", length, len(body), err)
+		}
+		reservation.Release()
+	}
+	long.Release()
+	if budget.Used() != 0 {
+		t.Errorf("%d bytes reserved after the release", budget.Used())
+	}
+}
+
+// TestBodyAtItsLimitTakesLittleMore checks that a body does not take twice its limit.
+func TestBodyAtItsLimitTakesLittleMore(t *testing.T) {
+	budget := readlimit.New(1 << 20)
+	if _, err := budget.Reserve().ReadAll(endless{}, -1, 64<<10); !errors.Is(err, readlimit.ErrBodyTooLong) {
+		t.Fatalf("error %v", err)
+	}
+	if budget.Used() > 64<<10+1 {
+		t.Errorf("%d bytes reserved for a body of at most %d", budget.Used(), 64<<10)
+	}
+}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -162,32 +162,25 @@
 	time.AfterFunc(f.milliseconds(300, 3000), func() { s.setFaults() })
 }
 
-// endlessResponses makes one server of each service send responses without end for a while.
+// endlessResponses makes two servers of each service send responses without end for a while.
 func (f *fleet) endlessResponses() {
+	plainForms := []upstream.Fault{upstream.SendsEndlessHeader, upstream.SendsEndlessBody}
+	engineForms := append([]upstream.Fault{upstream.SendsEndlessEvent, upstream.DripsEndlessEvent, upstream.HoldsLongEvent}, plainForms...)
+	lasts := f.milliseconds(500, 3000)
 	f.mu.Lock()
-	plain := f.plain[f.random.IntN(len(f.plain))]
+	plain := f.plain[:2]
 	f.mu.Unlock()
-	forms := []upstream.Fault{upstream.SendsEndlessHeader, upstream.SendsEndlessBody, upstream.SendsEndlessEvent, upstream.DripsEndlessEvent}
-	plain.setFaults(forms[f.random.IntN(2)])
-	lasts := f.milliseconds(500, 3000)
-	time.AfterFunc(lasts, func() { plain.setFaults() })
-	engine := f.randomEngine()
-	if engine == nil {
-		return
+	for _, s := range plain {
+		s.sendEndless(plainForms[f.random.IntN(len(plainForms))], lasts)
+	}
+	for range 2 {
+		if engine := f.randomEngine(); engine != nil {
+			engine.sendEndless(engineForms[f.random.IntN(len(engineForms))], lasts)
+		}
 	}
-	engine.setFaults(forms[f.random.IntN(len(forms))])
-	engine.mu.Lock()
-	engine.endlessMoves = true
-	engine.mu.Unlock()
 	if f.random.IntN(3) == 0 {
 		f.engineLeaves()
 	}
-	time.AfterFunc(lasts, func() {
-		engine.setFaults()
-		engine.mu.Lock()
-		defer engine.mu.Unlock()
-		engine.endlessMoves = false
-	})
 }
 
 func (f *fleet) vmFreezes() {
--- a/internal/soak/servers.go
+++ b/internal/soak/servers.go
@@ -90,6 +90,18 @@
 	s.faults = faults
 }
 
+// sendEndless makes the server send responses without end for a while, also to calls for
+// copies.
+func (s *server) sendEndless(form upstream.Fault, lasts time.Duration) {
+	set := func(endless bool, faults ...upstream.Fault) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.faults, s.endlessMoves = faults, endless
+	}
+	set(true, form)
+	time.AfterFunc(lasts, func() { set(false) })
+}
+
 // drawFault draws the fault of a request. Half of the requests have none.
 func (s *server) drawFault(string) upstream.Fault {
 	s.mu.Lock()
