serve: an engine that refuses connections may serve open streams

Sound messages could be quarantined by serve: an engine under which a request was lost counted as ended as soon as its load report could not be read, also while it went on with other streams, as servers do that shut down in order.

The client of engines counts its open streams; an engine with one of them is not reported as ended.

--- a/internal/caller/relay.go
+++ b/internal/caller/relay.go
@@ -184,11 +184,11 @@
 }
 
 // checkEngine reports an engine that was lost while it may have run a request, if it does
-// not respond any more.
+// not respond any more. An engine that takes no new connections may continue on open ones.
 func (s *Server) checkEngine(engine wire.Backend) {
 	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 	defer cancel()
-	if _, running := s.opts.Engines.LoadReport(ctx, engine.Address); !running {
+	if _, running := s.opts.Engines.LoadReport(ctx, engine.Address); !running && s.opts.Engines.OpenStreams(engine.Address) == 0 {
 		s.opts.Broker.ReportEnded(engine.Name)
 	}
 }
--- a/internal/caller/relay_test.go
+++ b/internal/caller/relay_test.go
@@ -33,15 +33,21 @@
 type singleBackendBroker struct {
 	state *configchain.State
 	addr  string
+	// onEnded is called for each backend that is reported as ended; it may be nil.
+	onEnded func(backend string)
 }
 
 func (b singleBackendBroker) Place(context.Context, control.Place) (control.Placed, outcome.Result, []wire.Event) {
 	return control.Placed{Backend: wire.Backend{Name: "engine-1", Address: b.addr}}, outcome.Result{}, nil
 }
-func (singleBackendBroker) CancelPlace(string)                  {}
-func (singleBackendBroker) AttemptEnded(control.AttemptEnded)   {}
-func (singleBackendBroker) ReportLeaving(string)                {}
-func (singleBackendBroker) ReportEnded(string)                  {}
+func (singleBackendBroker) CancelPlace(string)                {}
+func (singleBackendBroker) AttemptEnded(control.AttemptEnded) {}
+func (singleBackendBroker) ReportLeaving(string)              {}
+func (b singleBackendBroker) ReportEnded(backend string) {
+	if b.onEnded != nil {
+		b.onEnded(backend)
+	}
+}
 func (b singleBackendBroker) State() *configchain.State         { return b.state }
 func (singleBackendBroker) Backend(string) (wire.Backend, bool) { return wire.Backend{}, false }
 func (singleBackendBroker) ReportTakeover(_, _, _ string)       {}
@@ -50,12 +56,17 @@
 }
 
 func newServer(n network.Network, addr string) *caller.Server {
+	return newServerReporting(n, addr, nil)
+}
+
+// newServerReporting is newServer with a function that is called for backends reported as ended.
+func newServerReporting(n network.Network, addr string, onEnded func(string)) *caller.Server {
 	state := configchain.Empty()
 	state, _ = state.Apply(state.Next((&fleet.Fleet{}).ReleaseNote(), 0))
 	limits := settings.Defaults().Callers
 	limits.TokenDeadlineMs = 60_000
 	return caller.New(caller.Options{
-		VM: "entry-1", Limits: limits, Secret: "0123456789abcdef", Broker: singleBackendBroker{state, addr},
+		VM: "entry-1", Limits: limits, Secret: "0123456789abcdef", Broker: singleBackendBroker{state, addr, onEnded},
 		Engines: engine.New(n), Incidents: incident.New("entry-1", 10_000), Log: logline.New(io.Discard, "error"),
 	})
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -35,10 +36,38 @@
 type Client struct {
 	network network.Network
 	http    *http.Client
+
+	mu sync.Mutex
+	// openStreams counts the streams that have not been closed, by the engine's address.
+	openStreams map[string]int
 }
 
 // New returns a client that connects through n.
-func New(n network.Network) *Client { return &Client{network: n, http: network.Client(n)} }
+func New(n network.Network) *Client {
+	return &Client{network: n, http: network.Client(n), openStreams: map[string]int{}}
+}
+
+// OpenStreams returns the number of streams of an engine that have neither ended nor been
+// closed.
+func (c *Client) OpenStreams(addr string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.openStreams[addr]
+}
+
+// countStream counts a stream until the returned function is called.
+func (c *Client) countStream(addr string) (end func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.openStreams[addr]++
+	return sync.OnceFunc(func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.openStreams[addr]--; c.openStreams[addr] == 0 {
+			delete(c.openStreams, addr)
+		}
+	})
+}
 
 // Start starts a generation and returns its stream. The stream counts as stalled
 // when no data arrives for idleTimeout. When no stream is returned, cause holds
@@ -89,7 +118,9 @@
 		watch.stop()
 		return nil, cause, !refused
 	}
-	return newStream(resp.Body, generation, index, watch), outcome.None, true
+	stream = newStream(resp.Body, generation, index, watch)
+	stream.uncount = c.countStream(req.URL.Host)
+	return stream, outcome.None, true
 }
 
 func exchange(conn net.Conn, req *http.Request) (*http.Response, error) {
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -57,6 +57,8 @@
 	next       int
 	watchdog   *watchdog
 	fieldBuf   []byte
+	// uncount ends the count of the stream as open.
+	uncount func()
 }
 
 func newStream(body io.ReadCloser, generation string, index int, w *watchdog) *Stream {
@@ -68,6 +70,7 @@
 
 // Close closes the stream without cancelling the generation.
 func (s *Stream) Close() {
+	s.uncount()
 	s.watchdog.stop()
 	_ = s.body.Close()
 }
