--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -37,6 +37,7 @@
 		{"endless", 1, 8 * time.Second},
 	} {
 		t.Run(fmt.Sprintf("%s/seed%d", c.profile, c.seed), func(t *testing.T) {
+			t.Parallel()
 			report, err := soak.Run(t.Context(), soak.Options{
 				Seed: c.seed, Duration: c.duration, VMs: 3, Engines: 8, Callers: 66, Profile: c.profile, Program: program, Dir: t.TempDir(),
 			})
