--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pimentohinge/pimentohinge/internal/standin/upstream"
@@ -51,9 +52,9 @@
 	records, servers := f.records, append(append([]*server{}, f.engines...), f.plain...)
 	f.mu.Unlock()
 	runs := map[string][]upstream.Run{}
-	byID := map[string]*server{}
+	byID := map[string][]*server{}
 	for _, s := range servers {
-		byID[s.id] = s
+		byID[s.id] = append(byID[s.id], s)
 	}
 	out := Report{Requests: map[string]int{}, Faults: map[string]int{}}
 	for _, run := range f.cluster.AllRuns() {
@@ -66,7 +67,7 @@
 		out.Requests[string(rec.kind)+"/"+rec.outcome()]++
 		f.checkRecord(rec, runs[rec.attempt])
 		for _, run := range runs[rec.attempt] {
-			f.checkDrain(rec, run, byID[run.Replica])
+			f.checkDrain(rec, run, incarnation(byID[run.Replica], run.Started))
 		}
 	}
 	for _, attempt := range f.cluster.Mixed() {
@@ -127,6 +128,16 @@
 	return false
 }
 
+// incarnation returns the last of the servers under one ID that had been started at a time.
+func incarnation(servers []*server, at time.Time) *server {
+	for _, s := range slices.Backward(servers) {
+		if !s.startedAt.After(at) {
+			return s
+		}
+	}
+	return nil
+}
+
 // checkDrain checks that a run did not begin long after its server said in the list that it
 // leaves.
 func (f *fleet) checkDrain(rec record, run upstream.Run, s *server) {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -83,7 +83,8 @@
 
 // engineLeaves announces the end of an engine, in the list, in its responses or both, and
 // ends it some time later. Meanwhile it may refuse new connections, as a server does that
-// shuts down in order, or ignore them. Another engine takes its place, at times at its address.
+// shuts down in order, or ignore them. Another engine takes its place, at times at its address
+// or under its ID too.
 func (f *fleet) engineLeaves() {
 	engine := f.randomEngine()
 	if engine == nil || !engine.markLeaving() {
@@ -105,13 +106,16 @@
 	case 2:
 		time.AfterFunc(closeAfter, engine.network.fillQueue)
 	}
-	number := 0
+	number, id := 0, ""
 	replaceAfter := f.milliseconds(100, 3000)
-	if f.random.IntN(4) == 0 {
+	switch f.random.IntN(8) {
+	case 0:
 		number, replaceAfter = engine.number, stopAfter+f.milliseconds(50, 2500)
+	case 1:
+		number, id, replaceAfter = engine.number, engine.id, stopAfter+f.milliseconds(50, 2500)
 	}
 	time.AfterFunc(stopAfter, engine.stop)
-	time.AfterFunc(replaceAfter, func() { _ = f.startServer(engineService, number) })
+	time.AfterFunc(replaceAfter, func() { _ = f.startServer(engineService, number, id) })
 }
 
 // engineCrashes ends an engine without an announcement.
@@ -121,7 +125,7 @@
 		return
 	}
 	engine.stop()
-	time.AfterFunc(f.milliseconds(500, 3000), func() { _ = f.startServer(engineService, 0) })
+	time.AfterFunc(f.milliseconds(500, 3000), func() { _ = f.startServer(engineService, 0, "") })
 }
 
 func (f *fleet) engineRefuses() {
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -93,12 +93,12 @@
 	f.store.SetFaults(store.Faults{DelayMs: storeRoundTripMs})
 	f.publishConfig(1)
 	for range f.opts.Engines {
-		if err := f.startServer(engineService, 0); err != nil {
+		if err := f.startServer(engineService, 0, ""); err != nil {
 			return err
 		}
 	}
 	for _, service := range []string{plainService, plainService, plainService, slowService} {
-		if err := f.startServer(service, 0); err != nil {
+		if err := f.startServer(service, 0, ""); err != nil {
 			return err
 		}
 	}
--- a/internal/soak/servers.go
+++ b/internal/soak/servers.go
@@ -19,6 +19,8 @@
 	network *listenNetwork
 	replica *upstream.Replica
 
+	startedAt time.Time
+
 	mu sync.Mutex
 	// faults are the faults of which one is drawn for each request; none if it is empty.
 	faults []upstream.Fault
@@ -32,18 +34,20 @@
 
 const serversPerGroup = 250
 
-// startServer starts a backend server at an address of its own, or, if number is above 0,
-// at that of an earlier one, and announces it in the store.
-func (f *fleet) startServer(service string, number int) error {
+// startServer starts a backend server and announces it in the store. It gets an address of its
+// own, or that of an earlier one if number is above 0, and an ID of its own if id is empty.
+func (f *fleet) startServer(service string, number int, id string) error {
 	f.mu.Lock()
 	f.nextServer++
-	id := fmt.Sprintf("i-%d", f.nextServer)
 	if number == 0 {
 		number = f.nextServer
 	}
+	if id == "" {
+		id = fmt.Sprintf("i-%d", f.nextServer)
+	}
 	keepsRunning := f.opts.Profile == profileLeaving || f.serverFaults.IntN(3) == 0
 	f.mu.Unlock()
-	s := &server{fleet: f, id: id, number: number, service: service, network: newListenNetwork()}
+	s := &server{fleet: f, id: id, number: number, service: service, network: newListenNetwork(), startedAt: time.Now()}
 	opts := upstream.Options{
 		ID: s.id, Address: f.address(groupServer+number/serversPerGroup, number%serversPerGroup+1, serverPort), Network: s.network,
 		Fault: s.drawFault, KeepsRunning: keepsRunning,
@@ -79,7 +83,7 @@
 func (s *server) announce(state string) {
 	s.fleet.store.Set("servers/"+s.id, object{
 		"service": s.service, "addr": s.replica.Address(), "zone": dataCentre, "version": "v1", "slots": 24,
-		"state": state, "coldLeftMs": 0, "seq": 1,
+		"state": state, "coldLeftMs": 0, "seq": 1, "born": s.startedAt.UnixMilli(),
 	})
 }
 
@@ -134,7 +138,11 @@
 	if s.fleet.serverFaults.IntN(3) > 0 {
 		return upstream.MoveSound
 	}
-	return upstream.MoveFault(1 + s.fleet.serverFaults.IntN(int(upstream.MoveResponseRepeated)))
+	n := s.fleet.serverFaults.IntN(int(upstream.MoveResponseRepeated) + 1)
+	if n == 0 {
+		return upstream.MoveLate
+	}
+	return upstream.MoveFault(n)
 }
 
 // markLeaving reports whether the server was not leaving before.
--- a/internal/standin/upstream/move.go
+++ b/internal/standin/upstream/move.go
@@ -26,8 +26,13 @@
 	MoveResponseRepeated
 	// MoveResponseEndless ignores the call and sends a response without end.
 	MoveResponseEndless
+	// MoveLate carries the copy out, and responds, LateMoveDelay after the call.
+	MoveLate
 )
 
+// LateMoveDelay is the delay of a MoveLate.
+const LateMoveDelay = 2 * time.Second
+
 // takeCopy removes and returns the copy with the given handle, if it belongs to the
 // attempt.
 func (r *Replica) takeCopy(handle, attempt string) (*kvCache, bool) {
@@ -96,6 +101,9 @@
 		sendEndless(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{\"handle\":\"", endlessBlock, 0)
 		return
 	}
+	if fault == MoveLate {
+		time.Sleep(LateMoveDelay)
+	}
 	resp := r.move(moveReq)
 	switch fault {
 	case MoveResponseLost:
