soak: recovery after all VMs are killed

The set of faults recovery ends a mixed run with the kill of all VMs; from 12 s on a quarter of the requests must be served. The check is given a run that breaks it.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -45,6 +45,9 @@
 // end, which the VMs cannot tell from slow ones.
 const endlessTimeout = 10 * time.Second
 
+// outcomeServed is the outcome of a request with a complete response.
+const outcomeServed = "served"
+
 // outcome names what came of the request.
 func (rec record) outcome() string {
 	switch {
@@ -55,7 +58,7 @@
 	case rec.err != nil:
 		return "cut"
 	case rec.status == http.StatusOK:
-		return "served"
+		return outcomeServed
 	}
 	return fmt.Sprint(rec.status)
 }
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -20,6 +20,7 @@
 	ruleOrder   rule = "ORDER"
 	ruleDrain   rule = "DRAIN"
 	ruleLost    rule = "LOST"
+	ruleRecover rule = "RECOVER"
 	ruleExit    rule = "EXIT"
 	ruleMemory  rule = "MEMORY"
 )
@@ -70,6 +71,7 @@
 			f.checkDrain(rec, run, incarnation(byID[run.Replica], run.Started))
 		}
 	}
+	f.checkRecovery(records)
 	for _, attempt := range f.cluster.Mixed() {
 		f.violate(Violation{ruleMixed, attempt, "sent with the copy of another stream"})
 	}
@@ -86,6 +88,29 @@
 	return out
 }
 
+// minServedDivisor is the part of the requests that must be served after the recovery.
+const minServedDivisor = 4
+
+// checkRecovery checks that requests are served again after all VMs were killed.
+func (f *fleet) checkRecovery(records []record) {
+	if f.recoverBy.IsZero() {
+		return
+	}
+	sent, served := 0, 0
+	for _, rec := range records {
+		if rec.sent.Before(f.recoverBy) || rec.left {
+			continue
+		}
+		sent++
+		if rec.outcome() == outcomeServed {
+			served++
+		}
+	}
+	if served*minServedDivisor < sent || sent == 0 {
+		f.violate(Violation{ruleRecover, "", fmt.Sprintf("%d of %d requests were served after the recovery", served, sent)})
+	}
+}
+
 // checkRecord checks one request.
 func (f *fleet) checkRecord(rec record, runs []upstream.Run) {
 	if rec.problem != "" {
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -71,3 +71,11 @@
 		})
 	}
 }
+
+func TestCheckFindsMissingRecovery(t *testing.T) {
+	for _, c := range []struct{ sent, served, want int }{{8, 2, 0}, {8, 1, 1}, {0, 0, 1}} {
+		if got := soak.CheckRecovery(c.sent, c.served); got != c.want {
+			t.Errorf("%d of %d served: %d violations, want %d", c.served, c.sent, got, c.want)
+		}
+	}
+}
--- a/internal/soak/export_test.go
+++ b/internal/soak/export_test.go
@@ -46,3 +46,18 @@
 	rec.readEvents(strings.NewReader(body), events)
 	return string(rec.rule)
 }
+
+// CheckRecovery returns the number of violations if so many of the requests that were sent
+// after the recovery were served.
+func CheckRecovery(sent, served int) int {
+	f := &fleet{recoverBy: time.Unix(1, 0)}
+	records := make([]record, sent)
+	for i := range records {
+		records[i] = record{sent: time.Unix(2, 0), status: 503}
+		if i < served {
+			records[i].status = 200
+		}
+	}
+	f.checkRecovery(append(records, record{sent: time.Unix(0, 0), status: 200}))
+	return len(f.violations)
+}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -22,6 +22,8 @@
 const (
 	// profileMixed has all faults but endless responses.
 	profileMixed = "mixed"
+	// profileRecovery has those of profileMixed and ends with the kill of all VMs at once.
+	profileRecovery = "recovery"
 	// profileLeaving has engines that leave and continue runs whose connections are lost.
 	profileLeaving = "leaving"
 	// profileStops has planned stops of one VM after the other and nothing else.
@@ -51,6 +53,8 @@
 	profileEndless: {{"endless", 1, (*fleet).endlessResponses}},
 }
 
+func init() { profiles[profileRecovery] = profiles[profileMixed] }
+
 // ProfileNames returns the names of the sets of faults.
 func ProfileNames() []string { return slices.Sorted(maps.Keys(profiles)) }
 
@@ -231,6 +235,19 @@
 	time.AfterFunc(lasts, func() { f.store.SetFaults(store.Faults{DelayMs: storeRoundTripMs}) })
 }
 
+// killAll kills all VMs at once and starts them again.
+func (f *fleet) killAll() {
+	for _, v := range f.vms {
+		for !v.begin() {
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	f.countFault("allKilled")
+	for _, v := range f.vms {
+		go v.restart(syscall.SIGKILL, time.Second)
+	}
+}
+
 // endFaults ends the faults that last until they are ended.
 func (f *fleet) endFaults() {
 	f.store.SetFaults(store.Faults{DelayMs: storeRoundTripMs})
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -30,6 +30,9 @@
 	cluster     *upstream.Cluster
 	vms         []*vm
 
+	// recoverBy is when the VMs must serve again; zero if they are not killed together.
+	recoverBy time.Time
+
 	mu sync.Mutex
 	// engines and plain are the backend servers that have been started, by order of start.
 	engines, plain []*server
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -77,6 +77,10 @@
 	settleTime = 2 * time.Second
 	// drainTime bounds the wait for open requests at the end of a run.
 	drainTime = 45 * time.Second
+	// recoveryTime is the time in which the VMs must serve again after all were killed, and
+	// recoveryWindow the time of the requests after it that are counted.
+	recoveryTime   = 12 * time.Second
+	recoveryWindow = 4 * time.Second
 	// lateRunTime is the wait for runs that begin after their request has ended.
 	lateRunTime = time.Second
 )
@@ -108,6 +112,11 @@
 		callers.Go(func() { c.run(callersCtx) })
 	}
 	f.injectFaults(ctx, faults)
+	if opts.Profile == profileRecovery {
+		f.killAll()
+		f.recoverBy = time.Now().Add(recoveryTime)
+		sleep.For(ctx, recoveryTime+recoveryWindow)
+	}
 	stopCallers()
 	waited := make(chan struct{})
 	go func() {
