--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -170,7 +170,7 @@
 		_, rec.err = io.Copy(io.Discard, resp.Body)
 		return
 	}
-	if resp.Header.Get("X-Pimentohinge-Response-Stamp") == "" {
+	if !upstream.IsStamped(resp.Header) {
 		rec.rule, rec.problem = ruleMixed, "a success without the stamp of a server"
 	}
 	if rec.kind == kindStream {
--- a/internal/soak/vm.go
+++ b/internal/soak/vm.go
@@ -17,6 +17,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/pimentohinge/pimentohinge/internal/sleep"
+	"github.com/pimentohinge/pimentohinge/platform"
 )
 
 const (
@@ -44,7 +45,7 @@
 	mu      sync.Mutex
 	process *exec.Cmd
 	exited  chan struct{} // closed when process has ended
-	// expectEnd is set when the process was told to end.
+	// expectEnd is set when the process was sent a signal that ends it.
 	expectEnd bool
 	// busy is set while a fault of the VM is in progress.
 	busy bool
@@ -134,7 +135,7 @@
 func (v *vm) isReady() bool {
 	client := http.Client{Timeout: probeInterval}
 	defer client.CloseIdleConnections()
-	resp, err := client.Get("http://" + v.ready + "/v1/ready")
+	resp, err := client.Get("http://" + v.ready + platform.PathReady)
 	if err != nil {
 		return false
 	}
--- a/internal/standin/upstream/request.go
+++ b/internal/standin/upstream/request.go
@@ -28,3 +28,6 @@
 	}
 	return h
 }
+
+// IsStamped reports whether a response carries the stamp of a replica.
+func IsStamped(h http.Header) bool { return h.Get("X-Pimentohinge-Response-Stamp") != "" }
