--- a/internal/control/migration/handover_test.go
+++ b/internal/control/migration/handover_test.go
@@ -28,6 +28,9 @@
 	running, gone, refuses bool
 	// idleClosedAt is when it closed its idle connections.
 	idleClosedAt time.Time
+	// closesAnyTime allows its listener to close at the moment at which the connection of the
+	// stream is lost, which looks like the end of the server.
+	closesAnyTime bool
 }
 
 // connections is what the gateway knows of its connections to the server.
@@ -48,8 +51,7 @@
 		return migration.ServerUnreachable, true
 	case listenerCloses:
 		m.refuses, m.idleClosedAt = true, now
-		// At the moment at which the connection of the stream is lost it looks like the end.
-		return migration.ServerRefuses, now.After(at(0))
+		return migration.ServerRefuses, m.closesAnyTime || now.After(at(0))
 	case serverEnds:
 		m.running, m.gone = false, true
 		if m.idleClosedAt.IsZero() {
@@ -77,8 +79,8 @@
 // walkHandover plays every order of up to depth events, also for a run that ended with its
 // connection, and counts the orders after which the stream was resumed elsewhere although
 // its run continued.
-func walkHandover(depth int, next func(migration.Handover, time.Time, migration.StopResult, migration.Connections) migration.ResumeFrom) (orders, broken int) {
-	const interval = 200 * time.Millisecond
+func walkHandover(depth int, closesAnyTime bool, next func(migration.Handover, time.Time, migration.StopResult, migration.Connections) migration.ResumeFrom) (orders, broken int) {
+	const interval = 100 * time.Millisecond
 	handover := migration.Handover{Deadline: at(7000), InPlaceUntil: at(250)}
 	var walk func(server modelServer, now time.Time, left int)
 	walk = func(server modelServer, now time.Time, left int) {
@@ -109,7 +111,7 @@
 	// The listener has closed some time before the connection of the stream, or has not.
 	for _, before := range []int{0, 200} {
 		for _, running := range []bool{false, true} {
-			server := modelServer{running: running}
+			server := modelServer{running: running, closesAnyTime: closesAnyTime}
 			if before > 0 {
 				server.refuses, server.idleClosedAt = true, at(-before)
 			}
@@ -124,7 +126,7 @@
 // must be found.
 func TestStreamResumesOnlyAfterItsRunEnded(t *testing.T) {
 	const depth = 6
-	if orders, broken := walkHandover(depth, migration.Handover.Next); broken > 0 || orders < 1000 {
+	if orders, broken := walkHandover(depth, false, migration.Handover.Next); broken > 0 || orders < 1000 {
 		t.Errorf("%d of %d orders resume a running stream", broken, orders)
 	}
 	for name, mistake := range map[string]func(*migration.Handover, *migration.StopResult, *migration.Connections){
@@ -139,7 +141,7 @@
 			h.InPlaceUntil = h.Deadline
 		},
 	} {
-		_, broken := walkHandover(depth, func(h migration.Handover, now time.Time, result migration.StopResult, c migration.Connections) migration.ResumeFrom {
+		_, broken := walkHandover(depth, false, func(h migration.Handover, now time.Time, result migration.StopResult, c migration.Connections) migration.ResumeFrom {
 			mistake(&h, &result, &c)
 			return h.Next(now, result, c)
 		})
@@ -149,6 +151,15 @@
 	}
 }
 
+// TestListenerThatClosesAsTheStreamIsLost is the walk with a server whose listener and idle
+// connections close at the moment at which it loses the connection of the stream.
+func TestListenerThatClosesAsTheStreamIsLost(t *testing.T) {
+	const depth = 6
+	if orders, broken := walkHandover(depth, true, migration.Handover.Next); broken > 0 {
+		t.Errorf("%d of %d orders resume a running stream", broken, orders)
+	}
+}
+
 func takenForNoRun(mistaken migration.StopResult) func(*migration.Handover, *migration.StopResult, *migration.Connections) {
 	return func(_ *migration.Handover, result *migration.StopResult, _ *migration.Connections) {
 		if *result == mistaken {
