--- a/internal/ingress/handover.go
+++ b/internal/ingress/handover.go
@@ -195,7 +195,11 @@
 	kvRef := platform.KVRef{Address: latest.source.Address, Handle: move.Handle}
 	result, connections := stopResult(move, err), s.connections(st, latest.source)
 	next := handover.Next(time.Now(), result, connections)
+	st.mu.Lock()
+	sentOn := st.stopSentOn
+	st.mu.Unlock()
 	s.log.Info().Str("event", "runStop").Str("request", st.req.params.AttemptID).Str("server", latest.source.ID).Str("result", result.String()).
+		Str("connection", string(sentOn)).
 		Str("next", next.String()).Int("openConnections", connections.OthersOpen).
 		Int64("closedAgoMs", ageMs(connections.StreamClosedAt)).Int64("reservedClosedAgoMs", ageMs(connections.ReservedClosedAt)).Msg("")
 	switch next {
--- a/internal/ingress/stopconn.go
+++ b/internal/ingress/stopconn.go
@@ -19,6 +19,17 @@
 // kept for it.
 const stopDialTimeout = 150 * time.Millisecond
 
+// connKind is the kind of a connection, for log lines.
+type connKind string
+
+// Kinds of connections. A new one was opened to the address of a server, which another process
+// may have taken over.
+const (
+	connNone     connKind = "none"
+	connNew      connKind = "new"
+	connReserved connKind = "reserved"
+)
+
 // keepStopConn keeps a connection to the server of a migrating stream open until the stream
 // breaks, for the request to stop its run: a server that leaves may take no new connections
 // and continue its runs.
@@ -86,9 +97,14 @@
 	return func(ctx context.Context, address string, req *replica.Request) (*replica.Response, error) {
 		st.mu.Lock()
 		kept := st.stopConn
+		st.stopSentOn = connNew
 		st.mu.Unlock()
 		if kept == nil || kept.IsClosed() {
-			return pool.Send(ctx, address, req)
+			resp, err := pool.Send(ctx, address, req)
+			if eris.Is(err, replica.ErrNotSent) {
+				st.noteStopSentOn(connNone)
+			}
+			return resp, err
 		}
 		dialCtx, cancel := context.WithTimeout(ctx, stopDialTimeout)
 		defer cancel()
@@ -96,6 +112,7 @@
 		if dialErr == nil {
 			return fresh.Send(ctx, req)
 		}
+		st.noteStopSentOn(connNone)
 		if kept.AwaitClose(ctx, migration.MaxCloseSkew) {
 			return nil, dialErr
 		}
@@ -107,10 +124,17 @@
 		if eris.Is(err, replica.ErrNotSent) {
 			return nil, dialErr
 		}
+		st.noteStopSentOn(connReserved)
 		return resp, err
 	}
 }
 
+func (st *stream) noteStopSentOn(kind connKind) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.stopSentOn = kind
+}
+
 // connections returns what is known of the connections to the server of a stream.
 func (s *Server) connections(st *stream, server backend.Server) migration.Connections {
 	connections := migration.Connections{OthersOpen: s.pool.OpenInUse(server.Address)}
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -54,6 +54,8 @@
 	// if there is none. keepsStopConn is set while keepStopConn runs for that server.
 	stopConn      *replica.Reserved
 	keepsStopConn bool
+	// stopSentOn is the connection that carried the last request to stop the run.
+	stopSentOn connKind
 	// ended is set when the relay has ended and copies are no longer needed.
 	ended bool
 }
