test: an engine that works on after another one has taken its address

What callers saw: streams that ran at two engines (TWICE). In a rolling restart the old process closes its listener and finishes its work while the new one listens at the same address. The soak started a replacement at an address 50 ms or more after its predecessor had ended, so that it could not show this. Now it starts it 20 to 600 ms after the listener has closed, in two of four planned ends of an engine, under an ID of its own or the old one. Servers in the rig are told apart by ID and start, and a server that ends removes its entry only if no later one has written it.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/pimentohinge/pimentohinge/internal/standin/upstream"
@@ -53,9 +52,9 @@
 	records, servers := f.records, append(append([]*server{}, f.engines...), f.plain...)
 	f.mu.Unlock()
 	runs := map[string][]upstream.Run{}
-	byID := map[string][]*server{}
+	started := map[serverStart]*server{}
 	for _, s := range servers {
-		byID[s.id] = append(byID[s.id], s)
+		started[serverStart{s.id, s.startedAt}] = s
 	}
 	out := Report{Requests: map[string]int{}, Faults: map[string]int{}}
 	for _, run := range f.cluster.AllRuns() {
@@ -68,7 +67,7 @@
 		out.Requests[string(rec.kind)+"/"+rec.outcome()]++
 		f.checkRecord(rec, runs[rec.attempt])
 		for _, run := range runs[rec.attempt] {
-			f.checkDrain(rec, run, incarnation(byID[run.Replica], run.Started))
+			f.checkDrain(rec, run, started[serverStart{run.Replica, run.ReplicaStartedAt}])
 		}
 	}
 	f.checkRecovery(records)
@@ -153,14 +152,10 @@
 	return false
 }
 
-// incarnation returns the last of the servers under one ID that had been started at a time.
-func incarnation(servers []*server, at time.Time) *server {
-	for _, s := range slices.Backward(servers) {
-		if !s.startedAt.After(at) {
-			return s
-		}
-	}
-	return nil
+// serverStart identifies a server. Several may use an ID one after the other.
+type serverStart struct {
+	id string
+	at time.Time
 }
 
 // checkDrain checks that a run did not begin long after its server said in the list that it
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -88,7 +88,7 @@
 // engineLeaves announces the end of an engine, in the list, in its responses or both, and
 // ends it some time later. Meanwhile it may refuse new connections, as a server does that
 // shuts down in order, or ignore them. Another engine takes its place, at times at its address
-// or under its ID too.
+// or under its ID too, and as soon as its listener is closed, as in a rolling restart.
 func (f *fleet) engineLeaves() {
 	engine := f.randomEngine()
 	if engine == nil || !engine.markLeaving() {
@@ -102,21 +102,25 @@
 		engine.replica.SayLeaving()
 	}
 	stopAfter := f.milliseconds(1500, 8000)
-	switch closeAfter := f.milliseconds(100, 2000); f.random.IntN(4) {
-	case 0:
+	// addressFreeAfter is when another server can listen at the address.
+	addressFreeAfter := stopAfter
+	switch closeAfter := f.milliseconds(100, 1500); f.random.IntN(6) {
+	case 0, 1:
 		time.AfterFunc(closeAfter, engine.replica.CloseListener)
-	case 1:
+		addressFreeAfter = closeAfter
+	case 2, 3:
 		time.AfterFunc(closeAfter, engine.replica.ShutDown)
-	case 2:
+		addressFreeAfter = closeAfter
+	case 4:
 		time.AfterFunc(closeAfter, engine.network.fillQueue)
 	}
 	number, id := 0, ""
 	replaceAfter := f.milliseconds(100, 3000)
-	switch f.random.IntN(8) {
+	switch f.random.IntN(4) {
 	case 0:
-		number, replaceAfter = engine.number, stopAfter+f.milliseconds(50, 2500)
+		number, replaceAfter = engine.number, addressFreeAfter+f.milliseconds(20, 600)
 	case 1:
-		number, id, replaceAfter = engine.number, engine.id, stopAfter+f.milliseconds(50, 2500)
+		number, id, replaceAfter = engine.number, engine.id, addressFreeAfter+f.milliseconds(20, 600)
 	}
 	time.AfterFunc(stopAfter, engine.stop)
 	time.AfterFunc(replaceAfter, func() { _ = f.startServer(engineService, number, id) })
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -36,6 +36,8 @@
 	mu sync.Mutex
 	// engines and plain are the backend servers that have been started, by order of start.
 	engines, plain []*server
+	// entries holds the server that each entry of a server in the store describes, by ID.
+	entries map[string]*server
 	// storeDisturbed holds when the store was disturbed.
 	storeDisturbed intervals
 	faults         map[string]int
@@ -71,7 +73,7 @@
 func newFleet(opts Options) (*fleet, error) {
 	f := &fleet{
 		opts: opts, random: rand.New(rand.NewPCG(opts.Seed, 0)), serverFaults: rand.New(rand.NewPCG(opts.Seed, 1)),
-		store: store.New(), cluster: upstream.NewCluster(), faults: map[string]int{},
+		store: store.New(), cluster: upstream.NewCluster(), faults: map[string]int{}, entries: map[string]*server{},
 	}
 	for f.block = firstBlock; ; f.block++ {
 		if f.block > lastBlock {
--- a/internal/soak/servers.go
+++ b/internal/soak/servers.go
@@ -50,7 +50,7 @@
 	s := &server{fleet: f, id: id, number: number, service: service, network: newListenNetwork(), startedAt: time.Now()}
 	opts := upstream.Options{
 		ID: s.id, Address: f.address(groupServer+number/serversPerGroup, number%serversPerGroup+1, serverPort), Network: s.network,
-		Fault: s.drawFault, KeepsRunning: keepsRunning,
+		StartedAt: s.startedAt, Fault: s.drawFault, KeepsRunning: keepsRunning,
 	}
 	switch service {
 	case engineService:
@@ -74,13 +74,25 @@
 	} else {
 		f.plain = append(f.plain, s)
 	}
+	f.entries[s.id] = s
 	f.mu.Unlock()
 	s.announce("ready")
 	return nil
 }
 
+// ownsEntry reports whether the entry in the store is the server's and not that of a later one
+// with its ID.
+func (s *server) ownsEntry() bool {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	return s.fleet.entries[s.id] == s
+}
+
 // announce writes the server's entry in the store.
 func (s *server) announce(state string) {
+	if !s.ownsEntry() {
+		return
+	}
 	s.fleet.store.Set("servers/"+s.id, object{
 		"service": s.service, "addr": s.replica.Address(), "zone": dataCentre, "version": "v1", "slots": 24,
 		"state": state, "coldLeftMs": 0, "seq": 1, "born": s.startedAt.UnixMilli(),
@@ -181,5 +193,7 @@
 	}
 	s.network.close()
 	s.replica.Stop()
-	s.fleet.store.Delete("servers/" + s.id)
+	if s.ownsEntry() {
+		s.fleet.store.Delete("servers/" + s.id)
+	}
 }
--- a/internal/standin/upstream/cluster.go
+++ b/internal/standin/upstream/cluster.go
@@ -14,6 +14,8 @@
 type Run struct {
 	// Attempt is the attempt ID of the request and Replica the ID of the replica.
 	Attempt, Replica string
+	// ReplicaStartedAt is Options.StartedAt of the replica.
+	ReplicaStartedAt time.Time
 	// FirstEvent and LastEvent are the numbers of the first and the last event that
 	// the run produced; both are 0 for a plain service.
 	FirstEvent, LastEvent int
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -35,6 +35,9 @@
 	// ID is the replica's ID, and Address where it listens on Network.
 	ID, Address string
 	Network     network.Network
+	// StartedAt is the time of its start that it reports. It tells replicas that use an ID one
+	// after the other apart. The zero time is not reported.
+	StartedAt time.Time
 	// Engine is nil for a plain service.
 	Engine *Engine
 	// ServiceTime is the processing time of a request to a plain service.
@@ -122,7 +125,9 @@
 // streams.
 func (r *Replica) Stop() {
 	r.cluster.mu.Lock()
-	delete(r.cluster.replicas, r.opts.Address)
+	if r.cluster.replicas[r.opts.Address] == r {
+		delete(r.cluster.replicas, r.opts.Address)
+	}
 	r.cluster.mu.Unlock()
 	_ = r.server.Close()
 	r.mu.Lock()
@@ -176,6 +181,9 @@
 	if r.opts.Engine != nil {
 		out["kvTotal"] = r.opts.Engine.CapacityTokens
 	}
+	if !r.opts.StartedAt.IsZero() {
+		out["born"] = r.opts.StartedAt.UnixMilli()
+	}
 	if !r.stopAt.IsZero() {
 		out["state"], out["leaves_ms"] = "draining", time.Until(r.stopAt).Milliseconds()
 	}
@@ -224,7 +232,7 @@
 	}
 	timeoutMs, _ := strconv.Atoi(req.Header.Get("X-Pimentohinge-Deadline-Ms"))
 	run := Run{
-		Attempt: attempt, Replica: r.opts.ID, Workspace: req.Header.Get("X-Pimentohinge-Tenant"),
+		Attempt: attempt, Replica: r.opts.ID, ReplicaStartedAt: r.opts.StartedAt, Workspace: req.Header.Get("X-Pimentohinge-Tenant"),
 		Key: req.Header.Get("Authorization"), TimeoutMs: timeoutMs, Segments: promptSegments(req.Header),
 	}
 	if r.opts.Engine == nil {
--- /dev/null
+++ b/test/gateway/successor_test.go
@@ -0,0 +1,125 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/pimentohinge/pimentohinge/internal/standin/upstream"
+)
+
+// startSuccessor starts an engine that keeps running and listens at the address of another one.
+// The successor has the same ID or one of its own.
+func (env *testEnv) startSuccessor(of string, sameID bool) *upstream.Replica {
+	id := of + "-successor"
+	if sameID {
+		id = of
+	}
+	address := env.replicas[of].Address()
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		env.t.Fatal(err)
+	}
+	startedAt := time.Now()
+	successor, err := env.upstreams.Start(upstream.Options{
+		ID: id, Address: address, Network: env.network.Host(host), Engine: testEngine(), KeepsRunning: true, StartedAt: startedAt,
+	})
+	if err != nil {
+		env.t.Fatal(err)
+	}
+	env.replicas[of+"-successor"] = successor
+	env.store.Set("servers/"+id, object{
+		"service": "engine", "addr": address, "zone": "a", "version": "v1", "slots": 24,
+		"state": "ready", "coldLeftMs": 0, "seq": 1, "born": startedAt.UnixMilli(),
+	})
+	return successor
+}
+
+// leaveListener makes an engine take no new connections and continue its runs.
+func (env *testEnv) leaveListener(id, how string) {
+	switch how {
+	case "closed":
+		env.replicas[id].CloseListener()
+	case "shutDown":
+		env.replicas[id].ShutDown()
+	}
+	// The listener of a server that shuts down is closed in the background.
+	time.Sleep(time.Millisecond)
+}
+
+// TestSuccessorAtTheAddressOfARunningEngine guards against TWICE: a leaving engine closes its
+// listener and continues its runs, and another one listens at its address. What that one answers
+// says nothing of the runs of its predecessor.
+func TestSuccessorAtTheAddressOfARunningEngine(t *testing.T) {
+	const events, streams, lost = 300, 5, 3
+	for _, how := range []string{"closed", "shutDown"} {
+		for _, sameID := range []bool{false, true} {
+			for _, lostAfter := range []time.Duration{1300, 2200, 2450, 3200} {
+				t.Run(fmt.Sprintf("%s/sameID=%v/after%d", how, sameID, lostAfter), func(t *testing.T) {
+					runTest(t, func(_ *testing.T, env *testEnv) {
+						env.startReplicaWith("e-1", "engine", "a", upstream.Options{Engine: testEngine(), KeepsRunning: true})
+						wait := env.startStreams(streams, events, 20*time.Millisecond)
+						env.startEngine("e-2", "a")
+						env.startEngine("e-3", "a")
+						time.Sleep(time.Second)
+						env.announceLeaving("e-1")
+						time.Sleep(firstCopiesDone)
+						env.leaveListener("e-1", how)
+						env.startSuccessor("e-1", sameID)
+						time.Sleep(lostAfter*time.Millisecond - firstCopiesDone)
+						for i := range lost {
+							env.replicas["e-1"].LoseResponse(fmt.Sprintf("s%d", i))
+						}
+						for i, resp := range wait() {
+							env.checkNoRestartOrOverlap(fmt.Sprintf("s%d", i))
+							if i >= lost {
+								env.requireComplete(resp, events)
+							}
+						}
+					})
+				})
+			}
+		}
+	}
+}
+
+// TestStreamsOfEngineWithSuccessorAreResumed checks that the streams of a leaving engine are
+// resumed at once when it ends, although another one listens at its address at that time.
+func TestStreamsOfEngineWithSuccessorAreResumed(t *testing.T) {
+	const events, streams = 300, 4
+	const maxPause = 180 * time.Millisecond
+	for _, how := range []string{"closed", "open"} {
+		for _, sameID := range []bool{false, true} {
+			for _, endsAfter := range []time.Duration{1500, 1700, 2100, 2300} {
+				t.Run(fmt.Sprintf("%s/sameID=%v/after%d", how, sameID, endsAfter), func(t *testing.T) {
+					runTest(t, func(t *testing.T, env *testEnv) {
+						env.startEngine("e-1", "a")
+						wait := env.startStreams(streams, events, 20*time.Millisecond)
+						env.startEngine("e-2", "a")
+						env.startEngine("e-3", "a")
+						time.Sleep(time.Second)
+						env.announceLeaving("e-1")
+						time.Sleep(firstCopiesDone)
+						if how == "closed" {
+							env.leaveListener("e-1", how)
+							env.startSuccessor("e-1", sameID)
+						}
+						time.Sleep(endsAfter*time.Millisecond - firstCopiesDone)
+						env.replicas["e-1"].Stop()
+						if how == "open" {
+							env.startSuccessor("e-1", sameID)
+						}
+						for i, resp := range wait() {
+							env.requireComplete(resp, events)
+							env.checkNoRestartOrOverlap(fmt.Sprintf("s%d", i))
+							if resp.longestPause > maxPause {
+								t.Errorf("stream %d paused for %v", i, resp.longestPause)
+							}
+						}
+					})
+				})
+			}
+		}
+	}
+}
