replica: connections belong to an instance, not to an address

The pool kept idle connections, and counted those in use, by address. In a rolling restart two processes share one: the old one works on connections that are open, the new one takes those that are opened. A connection that was in use when the successor appeared, and became idle after that, carried the successor's requests to the predecessor, which under the same ID runs them (DRAIN: new work at a server that leaves). And open streams of the successor counted as evidence that the predecessor had not ended, so that its streams were not resumed.

The pool now has the instance (ID, address and start) as its key. Class: an address taken for a process.

--- a/internal/ingress/handover.go
+++ b/internal/ingress/handover.go
@@ -106,7 +106,7 @@
 	forward := req.forwardParams(point.server)
 	forward.Priority = req.route.PriorityFor(req.workspace)
 	forward.ResumeFrom, forward.LastEventID = point.kvRef, st.lastEventID
-	resp, err := s.pool.Send(req.ctx, point.server.Address, req.replicaRequest(forward))
+	resp, err := s.pool.Send(req.ctx, point.server.Instance(), req.replicaRequest(forward))
 	line := s.log.Info().Str("event", "resumed").Str("request", req.params.AttemptID).Str("from", req.serverID).Str("server", point.server.ID).
 		Int64("relayed", st.lastEventID).Int64("pauseMs", time.Since(brokenAt).Milliseconds())
 	if err != nil {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -283,12 +283,12 @@
 // those that were removed or restarted.
 func (s *Server) applyServers(changes []catalog.ServerChange) {
 	var msg dispatch.ServersChanged
-	var unused []string
+	var unused []backend.Instance
 	s.mu.Lock()
 	for _, change := range changes {
 		old, known := s.servers[change.ID]
 		if known && (!change.InUse() || !old.SameInstance(change.Server)) {
-			unused = append(unused, old.Address)
+			unused = append(unused, old.Instance())
 			delete(s.leaving, old.Instance())
 		}
 		if !change.InUse() {
@@ -300,8 +300,8 @@
 		msg.Changed = append(msg.Changed, change.Server)
 	}
 	s.mu.Unlock()
-	for _, address := range unused {
-		s.pool.CloseIdle(address)
+	for _, instance := range unused {
+		s.pool.CloseIdle(instance)
 	}
 	s.loop.post(msg)
 }
--- a/internal/ingress/migration.go
+++ b/internal/ingress/migration.go
@@ -368,15 +368,15 @@
 	return move, err
 }
 
-// sendFunc sends a request to an address and returns the response.
-type sendFunc func(ctx context.Context, address string, req *replica.Request) (*replica.Response, error)
+// sendFunc sends a request to an instance and returns the response.
+type sendFunc func(ctx context.Context, server backend.Instance, req *replica.Request) (*replica.Response, error)
 
 // callReplica calls a replica's control interface and returns the status and the body
 // of the response.
 func (s *Server) callReplica(ctx context.Context, server backend.Server, call platform.Call, timeout time.Duration, send sendFunc) (int, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	resp, err := send(ctx, server.Address, &replica.Request{
+	resp, err := send(ctx, server.Instance(), &replica.Request{
 		Method: call.Method, Target: call.Target, Host: server.Address, Header: call.Header, Body: call.Body,
 		OwnConnection: call.Method != http.MethodGet,
 	})
--- a/internal/ingress/plain.go
+++ b/internal/ingress/plain.go
@@ -225,7 +225,7 @@
 
 // send sends a request to one server, reads the whole response and classifies it.
 func (s *Server) send(ctx context.Context, req *request, server backend.Server) attemptResult {
-	resp, err := s.pool.Send(ctx, server.Address, req.replicaRequest(req.forwardParams(server)))
+	resp, err := s.pool.Send(ctx, server.Instance(), req.replicaRequest(req.forwardParams(server)))
 	if eris.Is(err, replica.ErrNotSent) {
 		return attemptResult{verdict: dispatch.Unreachable, err: err}
 	}
--- a/internal/ingress/servercheck.go
+++ b/internal/ingress/servercheck.go
@@ -45,10 +45,10 @@
 			return
 		}
 		state, reason := "up", ""
-		if err := s.pool.Check(s.ctx, server.Address); err != nil {
+		if err := s.pool.Check(s.ctx, instance); err != nil {
 			reason = eris.ToString(err, false)
 			// A server that takes no new connections may continue on those that are open.
-			if s.pool.OpenInUse(server.Address) == 0 {
+			if s.pool.OpenInUse(server.Instance()) == 0 {
 				state = "down"
 			}
 		}
--- a/internal/ingress/stopconn.go
+++ b/internal/ingress/stopconn.go
@@ -39,7 +39,7 @@
 		return
 	}
 	for {
-		conn, err := s.pool.Reserve(st.req.ctx, from.Address)
+		conn, err := s.pool.Reserve(st.req.ctx, from.Instance())
 		if err == nil {
 			if !st.setStopConn(broken, conn) {
 				conn.Close()
@@ -94,13 +94,13 @@
 // sendStop returns a function that sends a request to stop the run of the stream: on a new
 // connection or, if none is opened soon, on the one that was kept for it.
 func (st *stream) sendStop(pool *replica.Pool) sendFunc {
-	return func(ctx context.Context, address string, req *replica.Request) (*replica.Response, error) {
+	return func(ctx context.Context, server backend.Instance, req *replica.Request) (*replica.Response, error) {
 		st.mu.Lock()
 		kept := st.stopConn
 		st.stopSentOn = connNew
 		st.mu.Unlock()
 		if kept == nil || kept.IsClosed() {
-			resp, err := pool.Send(ctx, address, req)
+			resp, err := pool.Send(ctx, server, req)
 			if eris.Is(err, replica.ErrNotSent) {
 				st.noteStopSentOn(connNone)
 			}
@@ -108,7 +108,7 @@
 		}
 		dialCtx, cancel := context.WithTimeout(ctx, stopDialTimeout)
 		defer cancel()
-		fresh, dialErr := pool.Reserve(dialCtx, address)
+		fresh, dialErr := pool.Reserve(dialCtx, server)
 		if dialErr == nil {
 			return fresh.Send(ctx, req)
 		}
@@ -137,7 +137,7 @@
 
 // connections returns what is known of the connections to the server of a stream.
 func (s *Server) connections(st *stream, server backend.Server) migration.Connections {
-	connections := migration.Connections{OthersOpen: s.pool.OpenInUse(server.Address)}
+	connections := migration.Connections{OthersOpen: s.pool.OpenInUse(server.Instance())}
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	if st.isBroken() {
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -157,7 +157,7 @@
 func (s *Server) tryStream(req *request, server backend.Server) (*replica.Response, attemptResult) {
 	forward := req.forwardParams(server)
 	forward.Priority = req.route.PriorityFor(req.workspace)
-	resp, err := s.pool.Send(req.ctx, server.Address, req.replicaRequest(forward))
+	resp, err := s.pool.Send(req.ctx, server.Instance(), req.replicaRequest(forward))
 	if eris.Is(err, replica.ErrNotSent) {
 		return nil, attemptResult{verdict: dispatch.Unreachable, err: err}
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -16,6 +16,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/pimentohinge/pimentohinge/internal/backend"
 	"github.com/pimentohinge/pimentohinge/internal/network"
 	"github.com/pimentohinge/pimentohinge/platform"
 )
@@ -83,7 +84,7 @@
 // exchange is one request on a connection and its response.
 type exchange struct {
 	pool          *Pool
-	address       string
+	server        backend.Instance
 	conn          *conn
 	detachContext func() bool // stops the end of the caller's context from closing conn
 	writeResult   chan error  // receives the result of writing the request
@@ -96,19 +97,22 @@
 }
 
 // Pool is a connection pool for backend servers. It is safe for concurrent use.
+//
+// A connection belongs to the instance for which it was opened: another instance may take over
+// its address while earlier connections lead to its predecessor.
 type Pool struct {
 	network network.Network
 
 	mu   sync.Mutex
-	idle map[string][]*conn // by address, most recently used last
-	// inUse holds the connections that carry a request, by address.
-	inUse  map[string]map[*conn]bool
+	idle map[backend.Instance][]*conn // most recently used last
+	// inUse holds the connections that carry a request.
+	inUse  map[backend.Instance]map[*conn]bool
 	opened int64
 }
 
 // New returns a pool that dials on the network n.
 func New(n network.Network) *Pool {
-	return &Pool{network: n, idle: map[string][]*conn{}, inUse: map[string]map[*conn]bool{}}
+	return &Pool{network: n, idle: map[backend.Instance][]*conn{}, inUse: map[backend.Instance]map[*conn]bool{}}
 }
 
 // ConnectionsOpened returns the number of connections opened so far.
@@ -118,13 +122,13 @@
 	return p.opened
 }
 
-// OpenInUse returns the number of connections to an address that carry a request and that
+// OpenInUse returns the number of connections to an instance that carry a request and that
 // the replica has not closed.
-func (p *Pool) OpenInUse(address string) int {
+func (p *Pool) OpenInUse(server backend.Instance) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	open := 0
-	for c := range p.inUse[address] {
+	for c := range p.inUse[server] {
 		if !c.closedByPeer() {
 			open++
 		}
@@ -132,30 +136,29 @@
 	return open
 }
 
-func (p *Pool) setInUse(address string, c *conn) {
+func (p *Pool) setInUse(server backend.Instance, c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.inUse[address] == nil {
-		p.inUse[address] = map[*conn]bool{}
+	if p.inUse[server] == nil {
+		p.inUse[server] = map[*conn]bool{}
 	}
-	p.inUse[address][c] = true
+	p.inUse[server][c] = true
 }
 
-func (p *Pool) endUse(address string, c *conn) {
+func (p *Pool) endUse(server backend.Instance, c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delete(p.inUse[address], c)
-	if len(p.inUse[address]) == 0 {
-		delete(p.inUse, address)
+	delete(p.inUse[server], c)
+	if len(p.inUse[server]) == 0 {
+		delete(p.inUse, server)
 	}
 }
 
-// CloseIdle closes the idle connections to an address, which may now belong to
-// another replica.
-func (p *Pool) CloseIdle(address string) {
+// CloseIdle closes the idle connections to an instance.
+func (p *Pool) CloseIdle(server backend.Instance) {
 	p.mu.Lock()
-	list := p.idle[address]
-	delete(p.idle, address)
+	list := p.idle[server]
+	delete(p.idle, server)
 	p.mu.Unlock()
 	for _, c := range list {
 		_ = c.Close()
@@ -166,7 +169,7 @@
 func (p *Pool) CloseExpired(now time.Time) {
 	p.mu.Lock()
 	var expired []*conn
-	for address, list := range p.idle {
+	for server, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
 			if now.Before(c.reusableUntil) {
@@ -176,10 +179,10 @@
 			expired = append(expired, c)
 		}
 		if len(kept) == 0 {
-			delete(p.idle, address)
+			delete(p.idle, server)
 			continue
 		}
-		p.idle[address] = kept
+		p.idle[server] = kept
 	}
 	p.mu.Unlock()
 	for _, c := range expired {
@@ -187,16 +190,16 @@
 	}
 }
 
-func (p *Pool) takeIdle(address string, now time.Time) *conn {
+func (p *Pool) takeIdle(server backend.Instance, now time.Time) *conn {
 	for {
 		p.mu.Lock()
-		list := p.idle[address]
+		list := p.idle[server]
 		if len(list) == 0 {
 			p.mu.Unlock()
 			return nil
 		}
 		c := list[len(list)-1]
-		p.idle[address] = list[:len(list)-1]
+		p.idle[server] = list[:len(list)-1]
 		p.mu.Unlock()
 		if now.Before(c.reusableUntil) && c.noPendingInput() {
 			return c
@@ -205,48 +208,48 @@
 	}
 }
 
-func (p *Pool) putIdle(address string, c *conn) {
+func (p *Pool) putIdle(server backend.Instance, c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle[address]) >= maxIdlePerServer {
+	if len(p.idle[server]) >= maxIdlePerServer {
 		_ = c.Close()
 		return
 	}
-	p.idle[address] = append(p.idle[address], c)
+	p.idle[server] = append(p.idle[server], c)
 }
 
-// Check reports, by its error, whether connections to an address can be opened. The new
+// Check reports, by its error, whether connections to an instance can be opened. The new
 // connection is kept for a later request.
-func (p *Pool) Check(ctx context.Context, address string) error {
-	c, err := p.dial(ctx, address)
+func (p *Pool) Check(ctx context.Context, server backend.Instance) error {
+	c, err := p.dial(ctx, server)
 	if err != nil {
-		return notSent(address, err)
+		return notSent(server, err)
 	}
 	c.reusableUntil = reuseDeadline(time.Now(), 0)
-	p.putIdle(address, c)
+	p.putIdle(server, c)
 	return nil
 }
 
-// notSent returns the error of a request to an address that could not be connected to.
-func notSent(address string, err error) error {
+// notSent returns the error of a request to a server that could not be connected to.
+func notSent(server backend.Instance, err error) error {
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		return eris.Wrapf(ErrRefused, "connect to %s", address)
+		return eris.Wrapf(ErrRefused, "connect to %s", server.Address)
 	}
-	return eris.Wrapf(ErrNotSent, "connect to %s: %v", address, err)
+	return eris.Wrapf(ErrNotSent, "connect to %s: %v", server.Address, err)
 }
 
-func (p *Pool) connect(ctx context.Context, address string) (*conn, error) {
-	if c := p.takeIdle(address, time.Now()); c != nil {
+func (p *Pool) connect(ctx context.Context, server backend.Instance) (*conn, error) {
+	if c := p.takeIdle(server, time.Now()); c != nil {
 		c.reused = true
 		return c, nil
 	}
-	return p.dial(ctx, address)
+	return p.dial(ctx, server)
 }
 
-func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
+func (p *Pool) dial(ctx context.Context, server backend.Instance) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	c, err := p.network.Dial(ctx, address)
+	c, err := p.network.Dial(ctx, server.Address)
 	if err != nil {
 		return nil, err
 	}
@@ -256,20 +259,20 @@
 	return newConn(c), nil
 }
 
-// Send sends a request to an address and returns its response once the header has
+// Send sends a request to an instance and returns its response once the header has
 // been read. The error wraps one of the errors of this package. The end of ctx closes
 // the connection, also while the body is read.
-func (p *Pool) Send(ctx context.Context, address string, req *Request) (*Response, error) {
+func (p *Pool) Send(ctx context.Context, server backend.Instance, req *Request) (*Response, error) {
 	connect := p.connect
 	if req.OwnConnection {
 		connect = p.dial
 	}
-	c, err := connect(ctx, address)
+	c, err := connect(ctx, server)
 	if err != nil {
-		return nil, notSent(address, err)
+		return nil, notSent(server, err)
 	}
-	x := &exchange{pool: p, address: address, conn: c}
-	x.keep, x.discard = func() { p.putIdle(address, c) }, func() { _ = c.Close() }
+	x := &exchange{pool: p, server: server, conn: c}
+	x.keep, x.discard = func() { p.putIdle(server, c) }, func() { _ = c.Close() }
 	x.begin(ctx, req)
 	resp, err := x.readResponse(req)
 	if err != nil {
@@ -282,7 +285,7 @@
 // begin sends the request in the background.
 func (x *exchange) begin(ctx context.Context, req *Request) {
 	x.writeResult = make(chan error, 1)
-	x.pool.setInUse(x.address, x.conn)
+	x.pool.setInUse(x.server, x.conn)
 	x.detachContext = context.AfterFunc(ctx, func() { _ = x.conn.Close() })
 	go func() {
 		_, err := x.conn.Write(req.bytes())
@@ -396,7 +399,7 @@
 		return
 	}
 	x.done = true
-	x.pool.endUse(x.address, x.conn)
+	x.pool.endUse(x.server, x.conn)
 	if !x.detachContext() || !time.Now().Before(x.conn.reusableUntil) || x.conn.reader.Buffered() > 0 {
 		x.discard()
 		return
@@ -439,7 +442,7 @@
 		return
 	}
 	x.done = true
-	x.pool.endUse(x.address, x.conn)
+	x.pool.endUse(x.server, x.conn)
 	x.detachContext()
 	x.discard()
 }
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -72,7 +72,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
-	resp, err := pool.Send(ctx, server.address, request("a", body))
+	resp, err := pool.Send(ctx, instanceAt(server.address), request("a", body))
 	if err != nil {
 		return "", err
 	}
@@ -137,7 +137,7 @@
 			}
 			time.Sleep(50 * time.Millisecond)
 		}
-		pool.CloseIdle(server.address)
+		pool.CloseIdle(instanceAt(server.address))
 		_ = ln.Close()
 		fabric.Close()
 		time.Sleep(time.Second)
@@ -245,7 +245,7 @@
 
 // sendAndRead sends a request and returns the body of its response.
 func sendAndRead(ctx context.Context, pool *replica.Pool, address, id string) (string, error) {
-	resp, err := pool.Send(ctx, address, request(id, ""))
+	resp, err := pool.Send(ctx, instanceAt(address), request(id, ""))
 	if err != nil {
 		return "", err
 	}
@@ -385,10 +385,10 @@
 		}
 	})
 	pool := replica.New(network.TCP{})
-	if err := pool.Check(t.Context(), server.address); err != nil {
+	if err := pool.Check(t.Context(), instanceAt(server.address)); err != nil {
 		t.Fatal(err)
 	}
-	resp, err := pool.Send(t.Context(), server.address, &replica.Request{Method: http.MethodGet, Target: "/", Host: "h", AttemptID: "a1"})
+	resp, err := pool.Send(t.Context(), instanceAt(server.address), &replica.Request{Method: http.MethodGet, Target: "/", Host: "h", AttemptID: "a1"})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -397,7 +397,7 @@
 		t.Errorf("%d connections, want 1", n)
 	}
 	unused := replica.New(pipenet.New().Host("10.0.0.2"))
-	if err := unused.Check(t.Context(), "10.0.0.3:80"); !errors.Is(err, replica.ErrNotSent) {
+	if err := unused.Check(t.Context(), instanceAt("10.0.0.3:80")); !errors.Is(err, replica.ErrNotSent) {
 		t.Errorf("check of a server that does not listen: %v", err)
 	}
 }
@@ -421,7 +421,7 @@
 					_ = c2.(*net.TCPConn).SetLinger(0)
 				}
 			})
-			resp, err := replica.New(network.TCP{}).Send(t.Context(), server.address, &replica.Request{Method: http.MethodGet, Target: "/", Host: "h", AttemptID: "a1"})
+			resp, err := replica.New(network.TCP{}).Send(t.Context(), instanceAt(server.address), &replica.Request{Method: http.MethodGet, Target: "/", Host: "h", AttemptID: "a1"})
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -486,7 +486,7 @@
 		for i, own := range []bool{false, true, true, false} {
 			req := request("", "")
 			req.OwnConnection = own
-			resp, err := pool.Send(t.Context(), server.address, req)
+			resp, err := pool.Send(t.Context(), instanceAt(server.address), req)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -497,7 +497,7 @@
 			}
 			time.Sleep(50 * time.Millisecond)
 		}
-		pool.CloseIdle(server.address)
+		pool.CloseIdle(instanceAt(server.address))
 		_ = ln.Close()
 		fabric.Close()
 		time.Sleep(time.Second)
--- a/internal/replica/reserved.go
+++ b/internal/replica/reserved.go
@@ -6,14 +6,16 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/pimentohinge/pimentohinge/internal/backend"
 )
 
 // Reserved is a connection that is kept open for requests of one purpose. It carries one
 // request at a time. As it is watched while it is idle, it shows when the replica closed its
 // connections, also after new ones can't be opened any more.
 type Reserved struct {
-	pool    *Pool
-	address string
+	pool   *Pool
+	server backend.Instance
 
 	mu   sync.Mutex
 	conn *conn
@@ -27,13 +29,13 @@
 	closedAt time.Time
 }
 
-// Reserve opens a connection to an address.
-func (p *Pool) Reserve(ctx context.Context, address string) (*Reserved, error) {
-	c, err := p.dial(ctx, address)
+// Reserve opens a connection to an instance.
+func (p *Pool) Reserve(ctx context.Context, server backend.Instance) (*Reserved, error) {
+	c, err := p.dial(ctx, server)
 	if err != nil {
-		return nil, notSent(address, err)
+		return nil, notSent(server, err)
 	}
-	r := &Reserved{pool: p, address: address, conn: c, closed: make(chan struct{})}
+	r := &Reserved{pool: p, server: server, conn: c, closed: make(chan struct{})}
 	r.watch()
 	return r, nil
 }
@@ -116,12 +118,12 @@
 	r.mu.Lock()
 	if r.busy || r.IsClosed() || r.conn.closedByPeer() {
 		r.mu.Unlock()
-		return nil, eris.Wrapf(ErrNotSent, "the connection to %s is closed or in use", r.address)
+		return nil, eris.Wrapf(ErrNotSent, "the connection to %s is closed or in use", r.server.Address)
 	}
 	r.busy = true
 	readable := r.readable
 	r.mu.Unlock()
-	x := &exchange{pool: r.pool, address: r.address, conn: r.conn, keep: r.release, discard: r.Close}
+	x := &exchange{pool: r.pool, server: r.server, conn: r.conn, keep: r.release, discard: r.Close}
 	x.begin(ctx, req)
 	<-readable
 	resp, err := x.readResponse(req)
--- a/internal/replica/reserved_test.go
+++ b/internal/replica/reserved_test.go
@@ -33,7 +33,7 @@
 		}
 	}()
 	pool := replica.New(network.TCP{})
-	reserved, err := pool.Reserve(t.Context(), ln.Addr().String())
+	reserved, err := pool.Reserve(t.Context(), instanceAt(ln.Addr().String()))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -107,7 +107,7 @@
 		reserved, conn, pool := reserve(t)
 		go func() {
 			respond(t, conn, "")
-			if n := pool.OpenInUse(conn.LocalAddr().String()); n != 1 {
+			if n := pool.OpenInUse(instanceAt(conn.LocalAddr().String())); n != 1 {
 				t.Errorf("%d connections in use", n)
 			}
 			_ = conn.Close()
@@ -115,7 +115,7 @@
 		if _, err := reserved.Send(t.Context(), post()); !errors.Is(err, replica.ErrNoResponse) {
 			t.Errorf("error of a request: %v", err)
 		}
-		if !reserved.IsClosed() || !reserved.ClosedAt().IsZero() || pool.OpenInUse(conn.LocalAddr().String()) > 0 {
+		if !reserved.IsClosed() || !reserved.ClosedAt().IsZero() || pool.OpenInUse(instanceAt(conn.LocalAddr().String())) > 0 {
 			t.Errorf("closed at %v", reserved.ClosedAt())
 		}
 	})
