soak: count runs that the end of an engine cut off, and the pauses of those resumed

A change that resumes fewer streams would look safer than it is. The report now has the runs with a caller that ended with their engine, how many were resumed and after which pause. Runs whose connection had been lost before are left out: nobody waits for them.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pimentohinge/pimentohinge/internal/standin/upstream"
@@ -70,6 +71,7 @@
 			f.checkDrain(rec, run, started[serverStart{run.Replica, run.ReplicaStartedAt}])
 		}
 	}
+	out.countCutByEnd(runs, started)
 	f.checkRecovery(records)
 	for _, attempt := range f.cluster.Mixed() {
 		f.violate(Violation{ruleMixed, attempt, "sent with the copy of another stream"})
@@ -87,6 +89,33 @@
 	return out
 }
 
+// endSkew bounds the time between the end of an engine and the recorded end of its runs.
+const endSkew = 50 * time.Millisecond
+
+// countCutByEnd counts the runs that were cut off by the end of their engine and the pauses of those
+// that were resumed.
+func (r *Report) countCutByEnd(runs map[string][]upstream.Run, started map[serverStart]*server) {
+	for _, attempts := range runs {
+		for i, run := range attempts {
+			s := started[serverStart{run.Replica, run.ReplicaStartedAt}]
+			if s == nil || s.service != engineService || run.Unheard {
+				continue
+			}
+			s.mu.Lock()
+			endedAt := s.endedAt
+			s.mu.Unlock()
+			if endedAt.IsZero() || run.Ended.Before(endedAt) || run.Ended.After(endedAt.Add(endSkew)) {
+				continue
+			}
+			r.CutByEnd++
+			if i+1 < len(attempts) {
+				r.ResumePauses = append(r.ResumePauses, attempts[i+1].Started.Sub(run.Ended))
+			}
+		}
+	}
+	slices.Sort(r.ResumePauses)
+}
+
 // minServedDivisor is the part of the requests that must be served after the recovery.
 const minServedDivisor = 4
 
--- a/internal/soak/servers.go
+++ b/internal/soak/servers.go
@@ -30,6 +30,8 @@
 	leavesAt time.Time
 	leaving  bool
 	stopped  bool
+	// endedAt is when a leaving server ended.
+	endedAt time.Time
 }
 
 const serversPerGroup = 250
@@ -186,7 +188,7 @@
 func (s *server) stop() {
 	s.mu.Lock()
 	stopped := s.stopped
-	s.stopped = true
+	s.stopped, s.endedAt = true, time.Now()
 	s.mu.Unlock()
 	if stopped {
 		return
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -44,6 +44,10 @@
 	Faults map[string]int
 	// Resumed is the number of runs that resumed a stream on another engine or in place.
 	Resumed int
+	// CutByEnd is the number of runs with a caller that were cut off by the end of their engine, and
+	// ResumePauses holds the times until those that were resumed began again, in order.
+	CutByEnd     int
+	ResumePauses []time.Duration
 	// PeakMemoryMb is the largest resident size of a VM in megabytes.
 	PeakMemoryMb int
 	// Violations are the broken promises.
@@ -64,6 +68,11 @@
 		b.WriteString("\n")
 	}
 	fmt.Fprintf(&b, "resumed runs: %d, peak memory of a VM: %d MB\n", r.Resumed, r.PeakMemoryMb)
+	fmt.Fprintf(&b, "runs cut off by the end of an engine: %d, resumed: %d", r.CutByEnd, len(r.ResumePauses))
+	if n := len(r.ResumePauses); n > 0 {
+		fmt.Fprintf(&b, ", pause ms median %d, longest %d", r.ResumePauses[n/2].Milliseconds(), r.ResumePauses[n-1].Milliseconds())
+	}
+	b.WriteString("\n")
 	for _, v := range r.Violations {
 		fmt.Fprintf(&b, "%s %s: %s\n", v.Rule, v.Attempt, v.Detail)
 	}
--- a/internal/standin/upstream/cluster.go
+++ b/internal/standin/upstream/cluster.go
@@ -23,6 +23,8 @@
 	Started, Ended time.Time
 	// Resumed is set when the run resumed a stream from a copy of its KV cache.
 	Resumed bool
+	// Unheard is set when the run continued after the connection of its stream was lost.
+	Unheard bool
 	// Workspace and Key are the workspace and authorization headers as received.
 	Workspace, Key string
 	// Segments are the IDs of the segments of the prompt, in order.
@@ -101,6 +103,12 @@
 	run.Ended, run.LastEvent = time.Now(), lastEvent
 }
 
+func (c *Cluster) recordUnheard(run *Run) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	run.Unheard = true
+}
+
 func (c *Cluster) replicaAt(address string) *Replica {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -358,6 +358,7 @@
 		r.waitFor(req, gen, engine.EventInterval)
 		if connected && gen.isLost() {
 			connected = false
+			r.cluster.recordUnheard(recorded)
 			closeConnection(w)
 		}
 		if fault == TruncatesBody && i == total/2 {
