ingress: a copy is released at the process that made it

A stream is lost whose copy is released by mistake: after the end of a stream its copy was released with a call to the address of its engine. The process that has taken the address over may have given the same handle to a copy of its own, and that one was freed. Class: an address taken for a process.

The release is now sent on the connection to the process that made the copy. Without one it is sent only while the list has that instance at the address; else the copy is left to expire. All control calls name the instance that they are meant for, so that a server with another ID answers 421 and does nothing; that answer says nothing of the runs of its predecessor.

The stand-in numbers its handles from 1 at each start, as the real ones may.

The log of a failed test on virtual time is now printed after t.Fatal too.

--- a/internal/ingress/migration.go
+++ b/internal/ingress/migration.go
@@ -139,7 +139,7 @@
 		if final.ok {
 			latest.kvRef = final.kvRef
 		}
-		s.dropCopy(latest)
+		s.dropCopy(latest, runConn{})
 		return
 	}
 	st.finalResult <- final
@@ -251,7 +251,7 @@
 			point := resumePoint{server: target, kvRef: platform.KVRef{Address: drain.from.Address, Handle: move.Handle}, ok: true}
 			copied := &kvCopy{target: point.server, kvRef: point.kvRef, source: drain.from}
 			if !st.setLatestCopy(copied) {
-				s.dropCopy(copied)
+				s.dropCopy(copied, runConn{})
 				return resumePoint{}, false
 			}
 			return point, false
@@ -389,6 +389,7 @@
 func (s *Server) callReplica(ctx context.Context, server backend.Server, call platform.Call, timeout time.Duration, send sendFunc) (int, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	call = call.For(server.ID)
 	resp, err := send(ctx, server.Instance(), &replica.Request{
 		Method: call.Method, Target: call.Target, Host: server.Address, Header: call.Header, Body: call.Body,
 		OwnConnection: call.Method != http.MethodGet,
@@ -406,9 +407,18 @@
 	return resp.Status, body, err
 }
 
-// dropCopy frees a copy on both servers with a call to its source.
-func (s *Server) dropCopy(copied *kvCopy) {
-	status, _, err := s.callReplica(s.ctx, copied.source, platform.ReleaseHandleCall(copied.kvRef.Handle), callTimeout, s.pool.Send)
+// dropCopy frees a copy on both servers with a call to its source: on the connection to the
+// process that made it, if there is one. Another process at its address may have given the same
+// handle to a copy of its own.
+func (s *Server) dropCopy(copied *kvCopy, conn runConn) {
+	send := s.pool.Send
+	switch {
+	case conn.usable() && conn.answer != nil:
+		send = sendOn(conn.conn)
+	case !s.isListed(copied.source):
+		return
+	}
+	status, _, err := s.callReplica(s.ctx, copied.source, platform.ReleaseHandleCall(copied.kvRef.Handle), callTimeout, send)
 	if err != nil || status >= http.StatusMultipleChoices {
 		s.log.Info().Str("event", "copyNotDropped").Str("server", copied.source.ID).Int("status", status).Msg("")
 	}
--- a/internal/ingress/runconn.go
+++ b/internal/ingress/runconn.go
@@ -209,6 +209,8 @@
 		return migration.StoppedAndCopied
 	case platform.RunNotFound:
 		return migration.NoRun
+	case platform.OtherInstance:
+		return migration.NoRunUnconfirmed
 	case platform.MoveInProgress:
 		return migration.StopBusy
 	case platform.TargetUnavailable:
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -281,11 +281,17 @@
 	st.latestCopy = nil
 	awaiting := st.awaitingFinalCopy
 	st.markBroken()
-	st.runConn.close()
-	st.mu.Unlock()
-	if leftover != nil && !awaiting {
-		s.spawn(func() { s.dropCopy(leftover) })
+	if leftover == nil || awaiting {
+		st.runConn.close()
+		st.mu.Unlock()
+		return
 	}
+	conn := st.runConn
+	st.mu.Unlock()
+	s.spawn(func() {
+		defer conn.close()
+		s.dropCopy(leftover, conn)
+	})
 }
 
 // markBroken wakes the goroutines in waitWhileRunning. st.mu must be held.
--- a/internal/standin/upstream/move.go
+++ b/internal/standin/upstream/move.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strconv"
 	"time"
 )
 
@@ -33,25 +34,34 @@
 // LateMoveDelay is the delay of a MoveLate.
 const LateMoveDelay = 2 * time.Second
 
-// takeCopy removes and returns the copy with the given handle, if it belongs to the
+// takeCopy removes and returns the copy with the given reference, if it belongs to the
 // attempt.
-func (r *Replica) takeCopy(handle, attempt string) (*kvCache, bool) {
+func (r *Replica) takeCopy(ref, attempt string) (*kvCache, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	copied, ok := r.copies[handle]
-	if ok && copied.attempt != attempt {
-		r.cluster.recordMixed(attempt)
-	}
-	if !ok || copied.attempt != attempt {
+	key := copyKey{ref, attempt}
+	copied, ok := r.copies[key]
+	if !ok {
+		for other := range r.copies {
+			if other.ref == ref {
+				r.cluster.recordMixed(attempt)
+			}
+		}
 		return nil, false
 	}
-	delete(r.copies, handle)
+	delete(r.copies, key)
 	return copied, true
 }
 
-// handleDrop deletes the copy with the given handle on all replicas.
+// copyRef returns the reference by which other replicas know a copy of this one.
+func (r *Replica) copyRef(handle string) string { return r.opts.Address + "/" + handle }
+
+// handleDrop deletes the copy to which this replica gave the handle, on all replicas.
 func (r *Replica) handleDrop(w http.ResponseWriter, req *http.Request) {
 	handle := req.PathValue("handle")
+	r.mu.Lock()
+	key := copyKey{r.copyRef(handle), r.attempts[handle]}
+	r.mu.Unlock()
 	r.cluster.mu.Lock()
 	replicas := make([]*Replica, 0, len(r.cluster.replicas))
 	for _, replica := range r.cluster.replicas {
@@ -60,7 +70,7 @@
 	r.cluster.mu.Unlock()
 	for _, replica := range replicas {
 		replica.mu.Lock()
-		delete(replica.copies, handle)
+		delete(replica.copies, key)
 		replica.mu.Unlock()
 	}
 	w.WriteHeader(http.StatusOK)
@@ -158,8 +168,15 @@
 	r.mu.Lock()
 	gen, ok := r.active[moveReq.ID]
 	size := 0
+	handle := ""
 	if ok {
 		size = gen.tokens
+		if gen.handle == "" {
+			r.lastHandle++
+			gen.handle = strconv.Itoa(r.lastHandle)
+			r.attempts[gen.handle] = moveReq.ID
+		}
+		handle = gen.handle
 		if moveReq.Last {
 			gen.cancel()
 		}
@@ -168,9 +185,9 @@
 	if !ok {
 		return moveResponse{status: http.StatusNotFound}
 	}
-	handle := "h-" + moveReq.ID
+	ref := r.copyRef(handle)
 	target := r.cluster.replicaAt(moveReq.Target)
-	if target == nil || !target.reserve(handle, moveReq.ID, size) {
+	if target == nil || !target.reserve(ref, moveReq.ID, size) {
 		return r.keepCopy(moveReq, handle, size)
 	}
 	r.copySlot <- struct{}{}
@@ -182,7 +199,7 @@
 	r.mu.Lock()
 	gen.copied, gen.target = tokens, moveReq.Target
 	r.mu.Unlock()
-	if !target.reserve(handle, moveReq.ID, tokens) {
+	if !target.reserve(ref, moveReq.ID, tokens) {
 		return r.keepCopy(moveReq, handle, tokens)
 	}
 	return moveResponse{status: http.StatusOK, Handle: handle, Events: events}
@@ -195,38 +212,39 @@
 		return moveResponse{status: http.StatusServiceUnavailable}
 	}
 	r.mu.Lock()
-	r.keep(handle, &kvCache{attempt: moveReq.ID, tokens: tokens, stopped: true})
+	r.keep(r.copyRef(handle), &kvCache{attempt: moveReq.ID, tokens: tokens, stopped: true})
 	r.mu.Unlock()
 	return moveResponse{status: http.StatusServiceUnavailable, Handle: handle}
 }
 
 // reserve records a copy of the given size, replacing an earlier copy with the same
-// handle. It reports false if there is no room.
-func (r *Replica) reserve(handle, attempt string, tokens int) bool {
+// reference. It reports false if there is no room.
+func (r *Replica) reserve(ref, attempt string, tokens int) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	earlier := 0
-	if copied, ok := r.copies[handle]; ok {
+	if copied, ok := r.copies[copyKey{ref, attempt}]; ok {
 		earlier = copied.tokens
 	}
 	if r.opts.Engine == nil || r.used()-earlier+tokens > r.opts.Engine.CapacityTokens {
 		return false
 	}
-	r.keep(handle, &kvCache{attempt: attempt, tokens: tokens})
+	r.keep(ref, &kvCache{attempt: attempt, tokens: tokens})
 	return true
 }
 
 // keep records a copy until it expires. r.mu must be held.
-func (r *Replica) keep(handle string, copied *kvCache) {
-	r.copies[handle] = copied
+func (r *Replica) keep(ref string, copied *kvCache) {
+	key := copyKey{ref, copied.attempt}
+	r.copies[key] = copied
 	if r.opts.CopyLifetime == 0 {
 		return
 	}
 	time.AfterFunc(r.opts.CopyLifetime, func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		if r.copies[handle] == copied {
-			delete(r.copies, handle)
+		if r.copies[key] == copied {
+			delete(r.copies, key)
 		}
 	})
 }
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -73,7 +73,11 @@
 
 	mu     sync.Mutex
 	active map[string]*generation
-	copies map[string]*kvCache // by handle
+	copies map[copyKey]*kvCache
+	// lastHandle is the number of the newest handle. Each start of a replica begins at 1.
+	lastHandle int
+	// attempts holds the attempts to whose copies this replica gave handles, by handle.
+	attempts map[string]string
 	// stopAt is the announced time of the stop; zero if none was announced.
 	stopAt time.Time
 	// leaving is set when all responses say that the replica leaves.
@@ -82,6 +86,13 @@
 	refusesUntil time.Time
 }
 
+// copyKey identifies a copy. Replicas that use an address one after the other may give the same
+// handle to copies of different attempts.
+type copyKey struct {
+	// ref is the address of the source, a slash and the handle.
+	ref, attempt string
+}
+
 // kvCache is the KV cache of a run, at the replica that runs it or as a copy.
 type kvCache struct {
 	attempt string
@@ -98,6 +109,7 @@
 	cancelled chan struct{} // closed when the stream must stop
 	lost      chan struct{} // closed when the connection of the stream is lost
 	target    string        // address of the replica with the copy; empty before the first
+	handle    string        // names the copies; empty before the first
 	copied    int           // tokens of the copy
 }
 
@@ -107,7 +119,7 @@
 	if err != nil {
 		return nil, err
 	}
-	replica := &Replica{opts: opts, cluster: c, listener: ln, active: map[string]*generation{}, copies: map[string]*kvCache{}, copySlot: make(chan struct{}, 1)}
+	replica := &Replica{opts: opts, cluster: c, listener: ln, active: map[string]*generation{}, copies: map[copyKey]*kvCache{}, attempts: map[string]string{}, copySlot: make(chan struct{}, 1)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/kv-move", replica.handleMove)
 	mux.HandleFunc("DELETE /v1/kv-handle/{handle}", replica.handleDrop)
@@ -305,9 +317,8 @@
 	}
 	first, toPrefill := 1, prompt
 	if from != "" {
-		_, handle, _ := strings.Cut(from, "/")
 		last, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
-		copied, ok := r.takeCopy(handle, run.Attempt)
+		copied, ok := r.takeCopy(from, run.Attempt)
 		if !ok {
 			r.respondNotExecuted(w, run.Attempt)
 			return
--- a/test/gateway/env_test.go
+++ b/test/gateway/env_test.go
@@ -42,6 +42,9 @@
 	// callersAddr is the address of the VM to which call sends requests.
 	callersAddr string
 	replicas    map[string]*upstream.Replica
+	// successorStarts holds the starts of the engines that took over the address of another one,
+	// by the ID of that one.
+	successorStarts map[string]time.Time
 	// wrapNetwork, when not nil, replaces the network of the VMs that are started.
 	wrapNetwork func(network.Network) network.Network
 }
@@ -77,7 +80,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		env := &testEnv{
 			t: t, network: pipenet.New(), store: store.New(), upstreams: upstream.NewCluster(), logs: &logBuffer{},
-			replicas: map[string]*upstream.Replica{}, callersAddr: callersAddr,
+			replicas: map[string]*upstream.Replica{}, successorStarts: map[string]time.Time{}, callersAddr: callersAddr,
 		}
 		env.network.Delay = func(from, to string) time.Duration {
 			if from == to {
@@ -86,13 +89,15 @@
 			return 250 * time.Microsecond
 		}
 		defer env.close()
+		defer func() {
+			if t.Failed() {
+				t.Log(env.logs.text())
+			}
+		}()
 		env.startStore()
 		env.configure(1, nil)
 		env.startVM()
 		test(t, env)
-		if t.Failed() {
-			t.Log(env.logs.b.String())
-		}
 	})
 }
 
--- a/test/gateway/successor_test.go
+++ b/test/gateway/successor_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -29,11 +30,17 @@
 		env.t.Fatal(err)
 	}
 	env.replicas[of+"-successor"] = successor
+	env.successorStarts[of] = startedAt
+	env.announceSuccessor(of, id, "ready")
+	return successor
+}
+
+// announceSuccessor writes the entry of the successor of an engine in the server list.
+func (env *testEnv) announceSuccessor(of, id, state string) {
 	env.store.Set("servers/"+id, object{
-		"service": "engine", "addr": address, "zone": "a", "version": "v1", "slots": 24,
-		"state": "ready", "coldLeftMs": 0, "seq": 1, "born": startedAt.UnixMilli(),
+		"service": "engine", "addr": env.replicas[of].Address(), "zone": "a", "version": "v1", "slots": 24,
+		"state": state, "coldLeftMs": 0, "seq": 1, "born": env.successorStarts[of].UnixMilli(),
 	})
-	return successor
 }
 
 // leaveListener makes an engine take no new connections and continue its runs.
@@ -123,3 +130,50 @@
 		}
 	}
 }
+
+// TestReleaseOfCopyReachesTheProcessThatMadeIt guards against streams that are lost: the copy of a
+// stream of a leaving engine is released at the address of the engine, where its successor has
+// given the same handle to a copy of its own.
+func TestReleaseOfCopyReachesTheProcessThatMadeIt(t *testing.T) {
+	const events, ownEvents, streams = 105, 200, 6
+	for _, sameID := range []bool{false, true} {
+		t.Run(fmt.Sprintf("sameID=%v", sameID), func(t *testing.T) {
+			runTest(t, func(t *testing.T, env *testEnv) {
+				env.startReplicaWith("e-1", "engine", "a", upstream.Options{Engine: testEngine(), KeepsRunning: true})
+				waitFirst := env.startStreams(1, events, 20*time.Millisecond)
+				env.startEngine("e-2", "a")
+				env.startEngine("e-3", "a")
+				time.Sleep(time.Second)
+				env.announceLeaving("e-1")
+				time.Sleep(300 * time.Millisecond)
+				env.leaveListener("e-1", "closed")
+				successor := env.startSuccessor("e-1", sameID)
+				time.Sleep(50 * time.Millisecond)
+				own := make([]response, streams)
+				var wg sync.WaitGroup
+				for i := range streams {
+					wg.Go(func() { own[i] = env.stream(t.Context(), fmt.Sprintf("own-%d", i), ownEvents) })
+				}
+				time.Sleep(300 * time.Millisecond)
+				id := "e-1-successor"
+				if sameID {
+					id = "e-1"
+				}
+				env.announceSuccessor("e-1", id, "draining")
+				env.requireComplete(waitFirst()[0], events)
+				time.Sleep(50 * time.Millisecond)
+				if len(successor.Running()) == 0 {
+					t.Fatal("the successor has no stream")
+				}
+				successor.Stop()
+				wg.Wait()
+				for _, resp := range own {
+					env.requireComplete(resp, ownEvents)
+				}
+				if mixed := env.upstreams.Mixed(); len(mixed) > 0 {
+					t.Errorf("resumed from the copy of another stream: %v", mixed)
+				}
+			})
+		})
+	}
+}
