ingress: a stream stopped in place resumes at its process

What callers saw: an interrupted stream.

The request is now sent on the connection on which the process showed that it has the run, if it is open.

--- a/internal/ingress/handover.go
+++ b/internal/ingress/handover.go
@@ -106,7 +106,7 @@
 	forward := req.forwardParams(point.server)
 	forward.Priority = req.route.PriorityFor(req.workspace)
 	forward.ResumeFrom, forward.LastEventID = point.kvRef, st.lastEventID
-	resp, err := s.pool.Send(req.ctx, point.server.Instance(), req.replicaRequest(forward))
+	resp, err := s.sendResumption(st, point, req.replicaRequest(forward))
 	line := s.log.Info().Str("event", "resumed").Str("request", req.params.AttemptID).Str("from", req.serverID).Str("server", point.server.ID).
 		Int64("relayed", st.lastEventID).Int64("pauseMs", time.Since(brokenAt).Milliseconds())
 	if err != nil {
@@ -130,6 +130,21 @@
 	return resp, true
 }
 
+// sendResumption sends the request that resumes a stream. If that is on the server that ran it,
+// the request goes to the same process.
+func (s *Server) sendResumption(st *stream, point resumePoint, req *replica.Request) (*replica.Response, error) {
+	if conn, ok := st.takeRunConn(point.server); ok {
+		own := *req
+		own.OwnConnection = true
+		resp, err := conn.Send(st.req.ctx, &own)
+		if !eris.Is(err, replica.ErrNotSent) {
+			return resp, err
+		}
+		conn.Close()
+	}
+	return s.pool.Send(st.req.ctx, point.server.Instance(), req)
+}
+
 // continueOn records that a stream continues on a server.
 func (st *stream) continueOn(server backend.Server) {
 	st.mu.Lock()
--- a/internal/ingress/runconn.go
+++ b/internal/ingress/runconn.go
@@ -68,6 +68,19 @@
 	return true
 }
 
+// takeRunConn returns the connection to the process that ran the stream on a server, if there is
+// one. It is not kept any more.
+func (st *stream) takeRunConn(server backend.Server) (*replica.Reserved, bool) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if !st.runningOn.SameInstance(server) || !st.runConn.usable() || st.runConn.answer == nil {
+		return nil, false
+	}
+	conn := st.runConn.conn
+	st.runConn = runConn{}
+	return conn, true
+}
+
 // ensureRunConn opens a connection to the server of a stream in the background if none is kept:
 // a server may close the one on which it answered.
 func (s *Server) ensureRunConn(st *stream, server backend.Server) {
--- a/test/gateway/successor_test.go
+++ b/test/gateway/successor_test.go
@@ -177,3 +177,29 @@
 		})
 	}
 }
+
+// TestStreamStoppedInPlaceResumesAtItsProcess guards against streams that are lost: a stream whose
+// run was stopped, and whose copy stayed at its engine, is resumed at the address of the engine, where
+// another one listens.
+func TestStreamStoppedInPlaceResumesAtItsProcess(t *testing.T) {
+	const events, streams = 150, 3
+	for _, sameID := range []bool{false, true} {
+		t.Run(fmt.Sprintf("sameID=%v", sameID), func(t *testing.T) {
+			runTest(t, func(_ *testing.T, env *testEnv) {
+				env.startReplicaWith("e-1", "engine", "a", upstream.Options{Engine: testEngine(), KeepsRunning: true})
+				wait := env.startStreams(streams, events, 20*time.Millisecond)
+				env.startEngine("e-2", "a")
+				time.Sleep(time.Second)
+				env.announceLeaving("e-1")
+				time.Sleep(firstCopiesDone)
+				env.leaveListener("e-1", "closed")
+				env.startSuccessor("e-1", sameID)
+				env.replicas["e-2"].Stop()
+				for i := range streams {
+					env.replicas["e-1"].LoseResponse(fmt.Sprintf("s%d", i))
+				}
+				env.checkUninterrupted(wait(), events)
+			})
+		})
+	}
+}
