dispatch: streams of a replaced instance migrate

What callers saw: interrupted streams. When the entry of a server became that of a later start under the same ID, the VM dropped what it knew of the earlier process, as if that had ended. In a rolling restart it finishes its streams, and those that had not ended when it did were lost, as no copy had been made.

The streams of the earlier instance now migrate as if it had said that it leaves. Load pattern: a rolling restart under the same ID without a notice before.

--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -197,8 +197,9 @@
 		if !known || !srv.SameInstance(update) {
 			if known {
 				c.poison.tracker.ServerEnded(now, srv.Instance().String())
+				c.replaceServer(srv)
 			}
-			// A restarted replica has lost its requests and reservations.
+			// A restarted replica has no requests and reservations.
 			srv = &server{
 				requests: map[uint64]*request{}, reservations: map[uint64]*request{},
 				tieBreak: tieBreakHash(c.opts.VM, update.ID), recent: newRecentOutcomes(),
@@ -224,6 +225,16 @@
 	}
 }
 
+// replaceServer migrates the streams of an instance in whose entry is another one now: its process
+// may work on for a while.
+func (c *Core) replaceServer(srv *server) {
+	if len(srv.requests) == 0 {
+		return
+	}
+	srv.Leaving = true
+	c.migrateStreams(srv)
+}
+
 // serverLeaves records that a server has announced that it leaves.
 func (c *Core) serverLeaves(now time.Time, srv *server) {
 	srv.Leaving = true
--- a/internal/control/dispatch/dispatch_test.go
+++ b/internal/control/dispatch/dispatch_test.go
@@ -349,6 +349,27 @@
 	}
 }
 
+// TestStreamsOfReplacedServerMigrate replays a rolling restart under the same ID: the entry of a
+// server is that of a new process while the earlier one finishes its streams.
+func TestStreamsOfReplacedServerMigrate(t *testing.T) {
+	core := newTestCore()
+	list := servers("engine", "a")
+	list[0].StartedAt = start
+	core.Step(start, dispatch.ServersChanged{Changed: list})
+	placeStream(t, core, start, 7)
+	again := servers("engine", "a")
+	again[0].StartedAt = start.Add(time.Minute)
+	var migrated []backend.Instance
+	for _, action := range core.Step(start.Add(time.Minute), dispatch.ServersChanged{Changed: again}) {
+		if r, ok := action.(dispatch.MigrateStreams); ok && len(r.Streams) == 1 && r.Streams[0].ID == 7 {
+			migrated = append(migrated, r.Server.Instance())
+		}
+	}
+	if diff := cmp.Diff([]backend.Instance{list[0].Instance()}, migrated); diff != "" {
+		t.Errorf("servers whose stream migrates (-want +got):\n%s", diff)
+	}
+}
+
 // TestFailingReplicaIsEjected checks that a replica that fails its requests gets few
 // of them, although its entry in the server list says that it is ready.
 func TestFailingReplicaIsEjected(t *testing.T) {
--- a/test/gateway/successor_test.go
+++ b/test/gateway/successor_test.go
@@ -17,7 +17,11 @@
 	if sameID {
 		id = of
 	}
-	address := env.replicas[of].Address()
+	return env.startSuccessorAt(of, id, env.replicas[of].Address())
+}
+
+// startSuccessorAt is startSuccessor with the ID and the address of the successor.
+func (env *testEnv) startSuccessorAt(of, id, address string) *upstream.Replica {
 	host, _, err := net.SplitHostPort(address)
 	if err != nil {
 		env.t.Fatal(err)
@@ -38,7 +42,7 @@
 // announceSuccessor writes the entry of the successor of an engine in the server list.
 func (env *testEnv) announceSuccessor(of, id, state string) {
 	env.store.Set("servers/"+id, object{
-		"service": "engine", "addr": env.replicas[of].Address(), "zone": "a", "version": "v1", "slots": 24,
+		"service": "engine", "addr": env.replicas[of+"-successor"].Address(), "zone": "a", "version": "v1", "slots": 24,
 		"state": state, "coldLeftMs": 0, "seq": 1, "born": env.successorStarts[of].UnixMilli(),
 	})
 }
@@ -203,3 +207,20 @@
 		})
 	}
 }
+
+// TestStreamsOfReplacedEngineMigrate guards against streams that are lost: the entry of an engine
+// is replaced by that of a later start under its ID, while the earlier process finishes its streams
+// and then ends.
+func TestStreamsOfReplacedEngineMigrate(t *testing.T) {
+	const events, streams = 150, 3
+	runTest(t, func(_ *testing.T, env *testEnv) {
+		env.startReplicaWith("e-1", "engine", "a", upstream.Options{Engine: testEngine(), KeepsRunning: true})
+		wait := env.startStreams(streams, events, 20*time.Millisecond)
+		env.startEngine("e-2", "a")
+		time.Sleep(time.Second)
+		env.startSuccessorAt("e-1", "e-1", "10.1.65.1:80")
+		time.Sleep(2 * time.Second)
+		env.replicas["e-1"].Stop()
+		env.checkUninterrupted(wait(), events)
+	})
+}
