soak: links that hold or lose bytes, suspended servers, slow VMs, changes of the configuration

The new set of faults, network, has connections to backend servers with a one-way delay of 0 or 30 ms, links that hold up bytes in one direction or both, connections that go silent without an end, servers whose processes are suspended and carry requests out after that, VMs that get 30% of a processor core, and configurations in which routes are dropped, moved to another service or change their kind, attempts or timeout.

A run now ends when it is stopped.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/pimentohinge/pimentohinge/internal/standin/upstream"
@@ -142,7 +143,7 @@
 // checkRecord checks one request.
 func (f *fleet) checkRecord(rec record, runs []upstream.Run) {
 	if rec.problem != "" {
-		f.violate(Violation{rec.rule, rec.attempt, rec.problem})
+		f.violate(Violation{rec.rule, rec.attempt, rec.problem + describeRuns(runs)})
 	}
 	if rec.kind == kindSafe {
 		return
@@ -156,6 +157,21 @@
 	f.checkPlannedStop(rec, runs)
 }
 
+// describeRuns returns where a request ran and which events each run produced.
+func describeRuns(runs []upstream.Run) string {
+	var b strings.Builder
+	for _, run := range runs {
+		fmt.Fprintf(&b, "; ran on %s: events %d to %d", run.Replica, run.FirstEvent, run.LastEvent)
+		if run.Unheard {
+			b.WriteString(", unheard")
+		}
+		if run.Ended.IsZero() {
+			b.WriteString(", not ended")
+		}
+	}
+	return b.String()
+}
+
 // checkRepeat checks the second of two runs of a request that must not run twice.
 func (f *fleet) checkRepeat(rec record, before, run upstream.Run) {
 	switch {
--- a/internal/soak/export_test.go
+++ b/internal/soak/export_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"net"
 	"strings"
 	"time"
 
@@ -61,3 +62,18 @@
 	f.checkRecovery(append(records, record{sent: time.Unix(0, 0), status: 200}))
 	return len(f.violations)
 }
+
+// Link is a link, for its tests.
+type Link struct{ *link }
+
+// NewLink returns a link without connections.
+func NewLink() *Link { return &Link{newLink()} }
+
+// NewConn returns the server's end of a connection over the link.
+func (l *Link) NewConn(conn net.Conn, delay time.Duration) net.Conn { return l.newConn(conn, delay) }
+
+// Hold is link.hold.
+func (l *Link) Hold(receiving, sending bool, until time.Time) { l.hold(receiving, sending, until) }
+
+// Silence is link.silence.
+func (l *Link) Silence() { l.silence() }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -28,6 +28,9 @@
 	profileLeaving = "leaving"
 	// profileStops has planned stops of one VM after the other and nothing else.
 	profileStops = "stops"
+	// profileNetwork has connections with delays whose bytes are held up or lost, suspended
+	// servers, slow VMs and changes of the configuration.
+	profileNetwork = "network"
 	// profileEndless has backend servers that send responses without end.
 	profileEndless = "endless"
 )
@@ -49,6 +52,18 @@
 		{"engineLeaves", 2, (*fleet).engineLeaves},
 		{"responsesLost", 4, (*fleet).loseResponses},
 	},
+	profileNetwork: {
+		{"engineLeaves", 3, (*fleet).engineLeaves},
+		{"responsesLost", 3, (*fleet).loseResponses},
+		{"serverSuspended", 3, (*fleet).serverSuspended},
+		{"linkHeld", 3, (*fleet).linkHeld},
+		{"linkSilent", 1, (*fleet).linkSilent},
+		{"vmSlow", 1, (*fleet).vmSlow},
+		{"vmStops", 1, (*fleet).vmStops},
+		{"plainFaults", 1, (*fleet).plainFaults},
+		{"configChanges", 2, (*fleet).configChanges},
+		{"storeFails", 1, (*fleet).storeFails},
+	},
 	profileStops:   {{"vmStops", 1, (*fleet).vmStopsAlone}},
 	profileEndless: {{"endless", 1, (*fleet).endlessResponses}},
 }
@@ -158,6 +173,67 @@
 	}
 }
 
+// randomServer returns a server that has not been stopped, or nil.
+func (f *fleet) randomServer() *server {
+	servers := f.openEngines()
+	f.mu.Lock()
+	servers = append(servers, f.plain...)
+	f.mu.Unlock()
+	return servers[f.random.IntN(len(servers))]
+}
+
+// serverSuspended suspends the process of a server for a while.
+func (f *fleet) serverSuspended() {
+	f.randomServer().replica.SuspendUntil(time.Now().Add(f.milliseconds(200, 6000)))
+}
+
+// linkHeld holds up bytes to or from a server, or both, for a while.
+func (f *fleet) linkHeld() {
+	how := 1 + f.random.IntN(3)
+	f.randomServer().network.link.hold(how&1 != 0, how&2 != 0, time.Now().Add(f.milliseconds(200, 4000)))
+}
+
+// linkSilent makes the open connections to a server pass nothing any more.
+func (f *fleet) linkSilent() { f.randomServer().network.link.silence() }
+
+const (
+	// slowPeriod and slowPause are the period of a slow VM and the part of it in which its process
+	// is suspended.
+	slowPeriod = 50 * time.Millisecond
+	slowPause  = 35 * time.Millisecond
+)
+
+// vmSlow gives a VM a part of a processor core for a while.
+func (f *fleet) vmSlow() {
+	v, end := f.randomVM(), time.Now().Add(f.milliseconds(1000, 6000))
+	if !v.begin() {
+		return
+	}
+	go func() {
+		for time.Now().Before(end) {
+			v.signal(syscall.SIGSTOP)
+			time.Sleep(slowPause)
+			v.signal(syscall.SIGCONT)
+			time.Sleep(slowPeriod - slowPause)
+		}
+		v.finish()
+	}()
+}
+
+// configChanges publishes a configuration in which a route is gone, leads to another service,
+// may be sent to more or fewer servers or has another timeout, and the first one again later.
+func (f *fleet) configChanges() {
+	if !f.configChanging.CompareAndSwap(false, true) {
+		return
+	}
+	change := configChange(f.random.IntN(int(configChangeCount)))
+	f.publishConfig(change)
+	time.AfterFunc(f.milliseconds(300, 4000), func() {
+		f.publishConfig(configUnchanged)
+		f.configChanging.Store(false)
+	})
+}
+
 // plainFaults makes a plain server stall, refuse or break responses for a while.
 func (f *fleet) plainFaults() {
 	f.mu.Lock()
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -30,6 +31,11 @@
 	cluster     *upstream.Cluster
 	vms         []*vm
 
+	// configVersion is the version of the newest configuration, and configChanging set while it
+	// differs from the first one.
+	configVersion  atomic.Int64
+	configChanging atomic.Bool
+
 	// recoverBy is when the VMs must serve again; zero if they are not killed together.
 	recoverBy time.Time
 
@@ -96,7 +102,7 @@
 	f.storeServer = &http.Server{Handler: f.store.Handler(), ReadHeaderTimeout: time.Second}
 	go func() { _ = f.storeServer.Serve(ln) }()
 	f.store.SetFaults(store.Faults{DelayMs: storeRoundTripMs})
-	f.publishConfig(1)
+	f.publishConfig(configUnchanged)
 	for range f.opts.Engines {
 		if err := f.startServer(engineService, 0, ""); err != nil {
 			return err
@@ -172,22 +178,52 @@
 	engineEventPeriod = 25 * time.Millisecond
 )
 
-// publishConfig writes the configuration to the store.
-func (f *fleet) publishConfig(version int) {
+// configChange is how a configuration differs from the first one.
+type configChange int
+
+const (
+	configUnchanged configChange = iota
+	configWithoutOrders
+	configWithoutStreams
+	configOrdersAtSlowService
+	configLookupsUnsafe
+	configOneAttempt
+	configShortTimeouts
+	configChangeCount
+)
+
+// publishConfig writes the next version of the configuration to the store.
+func (f *fleet) publishConfig(change configChange) {
+	version := f.configVersion.Add(1)
+	orderService, lookupKind, attempts, timeoutMs := plainService, "safe", 2, plainTimeoutMs
+	switch change {
+	case configOrdersAtSlowService:
+		orderService = slowService
+	case configLookupsUnsafe:
+		lookupKind = "unsafe"
+	case configOneAttempt:
+		attempts = 1
+	case configShortTimeouts:
+		timeoutMs = plainTimeoutMs / 10
+	}
 	route := func(name, prefix, kind, service string, attempts, timeoutMs, goalMs int) object {
 		return object{
 			"name": name, "host": hostName, "pathPrefix": prefix, "kind": kind, "service": service,
 			"maxAttempts": attempts, "timeoutMs": timeoutMs, "goalMs": goalMs, "priority": 1, "gapGoalMs": eventGapTargetMs,
 		}
 	}
+	routes := []object{
+		route("lookup", "/lookup/", lookupKind, plainService, attempts, timeoutMs, 200),
+		route("booking", "/booking/", "unsafe", slowService, attempts, slowTimeoutMs, 5000),
+	}
+	if change != configWithoutOrders {
+		routes = append(routes, route("order", "/order/", "unsafe", orderService, attempts, timeoutMs, 200))
+	}
+	if change != configWithoutStreams {
+		routes = append(routes, route("report", "/report/", "streaming", engineService, 1, streamTimeoutMs, 1800))
+	}
 	f.store.Set("config/main", object{
-		"version": version,
-		"routes": []object{
-			route("report", "/report/", "streaming", engineService, 1, streamTimeoutMs, 1800),
-			route("order", "/order/", "unsafe", plainService, 2, plainTimeoutMs, 200),
-			route("lookup", "/lookup/", "safe", plainService, 2, plainTimeoutMs, 200),
-			route("booking", "/booking/", "unsafe", slowService, 2, slowTimeoutMs, 5000),
-		},
+		"version": version, "routes": routes,
 		"services": []object{
 			{"name": plainService, "maxConns": 96},
 			{"name": slowService, "maxConns": 96},
--- a/internal/soak/listener.go
+++ b/internal/soak/listener.go
@@ -4,6 +4,7 @@
 	"net"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -21,6 +22,9 @@
 	resumed  *sync.Cond
 	// fill are connections that occupy the queue of new connections.
 	fill []net.Conn
+	// link is nil unless connections have a delay, which drawDelay draws.
+	link      *link
+	drawDelay func() time.Duration
 }
 
 func newListenNetwork() *listenNetwork {
@@ -99,5 +103,8 @@
 	for l.network.paused {
 		l.network.resumed.Wait()
 	}
-	return conn, err
+	if err != nil || l.network.link == nil {
+		return conn, err
+	}
+	return l.network.link.newConn(conn, l.network.drawDelay()), nil
 }
--- a/internal/soak/servers.go
+++ b/internal/soak/servers.go
@@ -50,6 +50,9 @@
 	keepsRunning := f.opts.Profile == profileLeaving || f.serverFaults.IntN(3) == 0
 	f.mu.Unlock()
 	s := &server{fleet: f, id: id, number: number, service: service, network: newListenNetwork(), startedAt: time.Now()}
+	if f.opts.Profile == profileNetwork {
+		s.network.link, s.network.drawDelay = newLink(), f.drawDelay
+	}
 	opts := upstream.Options{
 		ID: s.id, Address: f.address(groupServer+number/serversPerGroup, number%serversPerGroup+1, serverPort), Network: s.network,
 		StartedAt: s.startedAt, Fault: s.drawFault, KeepsRunning: keepsRunning,
@@ -101,6 +104,13 @@
 	})
 }
 
+// drawDelay draws the one-way delay of a connection.
+func (f *fleet) drawDelay() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return linkDelays[f.serverFaults.IntN(len(linkDelays))]
+}
+
 // setFaults replaces the faults of requests.
 func (s *server) setFaults(faults ...upstream.Fault) {
 	s.mu.Lock()
--- a/internal/standin/upstream/cluster.go
+++ b/internal/standin/upstream/cluster.go
@@ -97,10 +97,13 @@
 	return &run
 }
 
+// recordEnd records the end of a run; only the first call counts.
 func (c *Cluster) recordEnd(run *Run, lastEvent int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	run.Ended, run.LastEvent = time.Now(), lastEvent
+	if run.Ended.IsZero() {
+		run.Ended, run.LastEvent = time.Now(), lastEvent
+	}
 }
 
 func (c *Cluster) recordUnheard(run *Run) {
--- a/internal/standin/upstream/move.go
+++ b/internal/standin/upstream/move.go
@@ -179,6 +179,8 @@
 		handle = gen.handle
 		if moveReq.Last {
 			gen.cancel()
+			// The run does no more work, also if the process is suspended before it notices.
+			r.cluster.recordEnd(gen.recorded, gen.events)
 		}
 	}
 	r.mu.Unlock()
--- a/internal/standin/upstream/notices.go
+++ b/internal/standin/upstream/notices.go
@@ -22,9 +22,32 @@
 	r.refusesUntil = at
 }
 
+// SuspendUntil suspends the process of the replica until a point in time: connections are opened
+// and receive bytes, but nothing is carried out. Requests that arrive meanwhile are carried out
+// after that, also those whose senders have given up.
+func (r *Replica) SuspendUntil(at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.suspendedUntil = at
+}
+
+// awaitResumption waits until the process is not suspended.
+func (r *Replica) awaitResumption() {
+	for {
+		r.mu.Lock()
+		left := time.Until(r.suspendedUntil)
+		r.mu.Unlock()
+		if left <= 0 {
+			return
+		}
+		time.Sleep(left)
+	}
+}
+
 // withNotices adds what the replica says of itself to all responses.
 func (r *Replica) withNotices(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		r.awaitResumption()
 		r.mu.Lock()
 		leaving, left := r.leaving, time.Until(r.refusesUntil)
 		r.mu.Unlock()
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -84,6 +84,8 @@
 	leaving bool
 	// refusesUntil is the end of the time for which the replica refuses all requests.
 	refusesUntil time.Time
+	// suspendedUntil is the end of the time for which its process is suspended.
+	suspendedUntil time.Time
 }
 
 // copyKey identifies a copy. Replicas that use an address one after the other may give the same
@@ -110,7 +112,8 @@
 	lost      chan struct{} // closed when the connection of the stream is lost
 	target    string        // address of the replica with the copy; empty before the first
 	handle    string        // names the copies; empty before the first
-	copied    int           // tokens of the copy
+	recorded  *Run
+	copied    int // tokens of the copy
 }
 
 // Start starts a replica and adds it to the cluster.
@@ -276,6 +279,7 @@
 		r.cluster.recordEnd(recorded, 0)
 		panic(http.ErrAbortHandler)
 	}
+	r.awaitResumption()
 	r.cluster.recordEnd(recorded, 0)
 	body := ResponseBody(run.Attempt)
 	switch fault {
@@ -333,10 +337,11 @@
 		r.respondNotExecuted(w, run.Attempt)
 		return
 	}
-	r.active[run.Attempt] = gen
-	r.mu.Unlock()
 	run.FirstEvent = first
 	recorded := r.cluster.recordStart(run)
+	gen.recorded = recorded
+	r.active[run.Attempt] = gen
+	r.mu.Unlock()
 	defer func() {
 		r.mu.Lock()
 		if r.active[run.Attempt] == gen {
@@ -455,6 +460,7 @@
 	case <-callerGone:
 		panic(http.ErrAbortHandler)
 	}
+	r.awaitResumption()
 }
 
 // Address returns the address that the replica listens on.
--- a/test/gateway/successor_test.go
+++ b/test/gateway/successor_test.go
@@ -10,9 +10,10 @@
 	"github.com/pimentohinge/pimentohinge/internal/standin/upstream"
 )
 
-// startSuccessor starts an engine that keeps running and listens at the address of another one.
-// The successor has the same ID or one of its own.
-func (env *testEnv) startSuccessor(of string, sameID bool) *upstream.Replica {
+// startSuccessor starts an engine that keeps running and listens at the address of e-1. The
+// successor has the same ID or one of its own.
+func (env *testEnv) startSuccessor(sameID bool) *upstream.Replica {
+	const of = "e-1"
 	id := of + "-successor"
 	if sameID {
 		id = of
@@ -47,13 +48,13 @@
 	})
 }
 
-// leaveListener makes an engine take no new connections and continue its runs.
-func (env *testEnv) leaveListener(id, how string) {
+// leaveListener makes e-1 take no new connections and continue its runs.
+func (env *testEnv) leaveListener(how string) {
 	switch how {
 	case "closed":
-		env.replicas[id].CloseListener()
+		env.replicas["e-1"].CloseListener()
 	case "shutDown":
-		env.replicas[id].ShutDown()
+		env.replicas["e-1"].ShutDown()
 	}
 	// The listener of a server that shuts down is closed in the background.
 	time.Sleep(time.Millisecond)
@@ -76,8 +77,8 @@
 						time.Sleep(time.Second)
 						env.announceLeaving("e-1")
 						time.Sleep(firstCopiesDone)
-						env.leaveListener("e-1", how)
-						env.startSuccessor("e-1", sameID)
+						env.leaveListener(how)
+						env.startSuccessor(sameID)
 						time.Sleep(lostAfter*time.Millisecond - firstCopiesDone)
 						for i := range lost {
 							env.replicas["e-1"].LoseResponse(fmt.Sprintf("s%d", i))
@@ -113,13 +114,13 @@
 						env.announceLeaving("e-1")
 						time.Sleep(firstCopiesDone)
 						if how == "closed" {
-							env.leaveListener("e-1", how)
-							env.startSuccessor("e-1", sameID)
+							env.leaveListener(how)
+							env.startSuccessor(sameID)
 						}
 						time.Sleep(endsAfter*time.Millisecond - firstCopiesDone)
 						env.replicas["e-1"].Stop()
 						if how == "open" {
-							env.startSuccessor("e-1", sameID)
+							env.startSuccessor(sameID)
 						}
 						for i, resp := range wait() {
 							env.requireComplete(resp, events)
@@ -150,8 +151,8 @@
 				time.Sleep(time.Second)
 				env.announceLeaving("e-1")
 				time.Sleep(300 * time.Millisecond)
-				env.leaveListener("e-1", "closed")
-				successor := env.startSuccessor("e-1", sameID)
+				env.leaveListener("closed")
+				successor := env.startSuccessor(sameID)
 				time.Sleep(50 * time.Millisecond)
 				own := make([]response, streams)
 				var wg sync.WaitGroup
@@ -196,8 +197,8 @@
 				time.Sleep(time.Second)
 				env.announceLeaving("e-1")
 				time.Sleep(firstCopiesDone)
-				env.leaveListener("e-1", "closed")
-				env.startSuccessor("e-1", sameID)
+				env.leaveListener("closed")
+				env.startSuccessor(sameID)
 				env.replicas["e-2"].Stop()
 				for i := range streams {
 					env.replicas["e-1"].LoseResponse(fmt.Sprintf("s%d", i))
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -33,6 +33,7 @@
 	}{
 		{"leaving", 1, 20 * time.Second},
 		{"mixed", 1, 20 * time.Second},
+		{"network", 1, 20 * time.Second},
 		{"stops", 1, 15 * time.Second},
 		{"endless", 1, 8 * time.Second},
 	} {
