catalog: a VM that becomes the leader ends its earlier watch of the store

Cause: after an outage each VM reads with watches of up to 3 s. The one that became the leader meanwhile went on with its own, confirmed nothing until that ended, and each follower made a read of its own as the leader's had grown stale. The beginning of its term now ends that watch, at the price of one more call.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -169,7 +169,13 @@
 		cur.calledAt = time.Now()
 		linearizable := c.isLeaderAt(cur.calledAt) || cur.needsLinearizable(cur.calledAt, c.linearizableInterval)
 		endRead := c.beginRead(handler.prefix, linearizable)
-		listing, status := c.readStore(ctx, handler, cur, linearizable)
+		readCtx, end := ctx, context.CancelFunc(func() {})
+		if cur.version >= 0 {
+			readCtx, end = feed.beginRead(ctx)
+		}
+		listing, status := c.readStore(readCtx, handler, cur, linearizable)
+		interrupted := readCtx.Err() != nil && ctx.Err() == nil
+		end()
 		if c.opts.OnStoreCall != nil {
 			c.opts.OnStoreCall(handler.prefix, linearizable, status)
 		}
@@ -185,6 +191,9 @@
 			if ctx.Err() != nil {
 				return
 			}
+			if interrupted {
+				continue
+			}
 			if !cur.storeDown {
 				cur.storeDown = true
 				c.opts.Log.Warn().Str("event", "storeLost").Str("prefix", handler.prefix).Str("status", status.String()).Int64("after", cur.version).Msg("")
--- a/internal/catalog/feed.go
+++ b/internal/catalog/feed.go
@@ -55,6 +55,9 @@
 
 	mu            sync.Mutex
 	confirmations []Confirmation // in order of arrival; none covers another
+	// endRead ends the read of the store that is in progress; nil if there is none, or if it is the
+	// first one.
+	endRead context.CancelFunc
 }
 
 func newPeerFeed() *peerFeed {
@@ -158,8 +161,40 @@
 // SetLeader makes this catalog the leader until the given time: it reads linearizably
 // and publishes what it reads to the given number of followers.
 func (c *Catalog) SetLeader(until time.Time, followers int) {
+	began := !c.IsLeader()
 	c.leaderUntil.Store(until.UnixNano())
 	c.followers.Store(int64(followers))
+	if !began {
+		return
+	}
+	for _, feed := range c.feeds {
+		feed.interruptRead()
+	}
+}
+
+// beginRead returns the context of a read of the store, which ends when this VM becomes the leader:
+// followers wait for what a leader reads, and a watch that began before may last for seconds.
+func (f *peerFeed) beginRead(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	f.setEndRead(cancel)
+	return ctx, func() {
+		f.setEndRead(nil)
+		cancel()
+	}
+}
+
+func (f *peerFeed) setEndRead(end context.CancelFunc) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.endRead = end
+}
+
+func (f *peerFeed) interruptRead() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.endRead != nil {
+		f.endRead()
+	}
 }
 
 // IsLeader reports whether this catalog is the leader at present.
