ingress: a caller whose body is slow gets 408

What callers saw: a closed connection and no response, 2 s after the start of a body that had not arrived; log and explain said that the caller had left.

Cause: net/http ends the context of a request when the read deadline of its connection passes, so that an expired deadline looked like the caller's end. The error of the read is looked at first now. 408 promises that nothing ran, which is so: the body is read before the request is placed.

What bounds a body is unchanged: 2 s in all.

--- a/internal/ingress/filters.go
+++ b/internal/ingress/filters.go
@@ -6,6 +6,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -219,7 +220,8 @@
 		return proceed()
 	case asError(err, &tooLarge):
 		return refuse(outcome.TooLarge, "limit "+strconv.Itoa(limit)+" bytes", 0)
-	case req.r.Context().Err() != nil:
+	case req.r.Context().Err() != nil && !errors.Is(err, os.ErrDeadlineExceeded):
+		// net/http also ends the context when the read deadline has passed.
 		return refuse(outcome.CallerGone, "while reading the request body", 0)
 	}
 	req.w.Header().Set("Connection", "close")
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -140,11 +140,18 @@
 		leaves := time.AfterFunc(time.Duration(c.random.IntN(2000))*time.Millisecond, cancel)
 		defer func() { rec.left = !leaves.Stop() && rec.err != nil }()
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.vm.callers+path, nil)
+	var body io.Reader
+	if rec.kind == kindUnsafe && c.fleet.opts.Profile == profileNetwork && c.random.IntN(pausingBodyOneIn) == 0 {
+		body = &pausingBody{left: pausingBodyBytes, pauseAt: c.random.IntN(pausingBodyBytes), pause: time.Duration(c.random.IntN(4000)) * time.Millisecond}
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.vm.callers+path, body)
 	if err != nil {
 		rec.err = err
 		return rec
 	}
+	if body != nil {
+		req.ContentLength = pausingBodyBytes
+	}
 	req.Host = hostName
 	described := upstream.Request{Attempt: attempt, Key: apiKey, Timeout: timeout}
 	if events > 0 {
@@ -157,6 +164,38 @@
 	return rec
 }
 
+const (
+	// pausingBodyOneIn is the part of the unsafe requests whose bodies arrive with a pause.
+	pausingBodyOneIn = 10
+	pausingBodyBytes = 2000
+)
+
+// pausingBody is a body that pauses once.
+type pausingBody struct {
+	left, pauseAt int
+	pause         time.Duration
+}
+
+// Read returns the bytes up to the pause, or those after it.
+func (b *pausingBody) Read(p []byte) (int, error) {
+	if b.left == 0 {
+		return 0, io.EOF
+	}
+	n := b.left
+	switch {
+	case b.left > b.pauseAt:
+		n = b.left - b.pauseAt
+	case b.left == b.pauseAt:
+		time.Sleep(b.pause)
+	}
+	n = min(n, len(p))
+	for i := range n {
+		p[i] = 'x'
+	}
+	b.left -= n
+	return n, nil
+}
+
 // exchange sends a request and reads its response.
 func (c *caller) exchange(req *http.Request, rec *record, events int) {
 	resp, err := c.client.Do(req)
