ingress: streams that go on show that their server has not ended

What callers saw: a stream that two engines worked on at once (TWICE), 1.1 and 1.2 s long.

Cause: an engine lost the connection of a stream 16 and 22 ms after it had closed its listener and its idle connections, which looks like its end. Other streams of the same VM at it went on for 0.8 and 1.1 s, and the VM waited; once they had ended too, that was forgotten and the engine counted as ended. Class: evidence judged at one moment, though it was refuted in between.

The VM now keeps until when a connection that carried another request was open, and a server counts as ended only if all of them closed with the first. Control calls don't count, since whatever listens at the address answers them.

TestOtherStreamsShowThatAServerRuns failed before in 2 of 3 cases (the others end after 150 and 1000 ms; after 45 ms by chance not) and passes.

--- a/internal/control/migration/handover.go
+++ b/internal/control/migration/handover.go
@@ -70,6 +70,9 @@
 	ReservedClosedAt time.Time
 	// OthersOpen is the number of connections that carry other requests and are open.
 	OthersOpen int
+	// OthersOpenUntil is when a connection that carried another request was last open; zero when
+	// unknown.
+	OthersOpenUntil time.Time
 }
 
 // MaxCloseSkew is the longest time between the ends of two connections that close because
@@ -83,6 +86,9 @@
 	if c.StreamClosedAt.IsZero() || c.ReservedClosedAt.IsZero() || c.OthersOpen > 0 {
 		return false
 	}
+	if c.OthersOpenUntil.Sub(c.StreamClosedAt) > MaxCloseSkew {
+		return false
+	}
 	return c.StreamClosedAt.Sub(c.ReservedClosedAt).Abs() <= MaxCloseSkew
 }
 
--- a/internal/ingress/migration.go
+++ b/internal/ingress/migration.go
@@ -392,7 +392,7 @@
 	call = call.For(server.ID)
 	resp, err := send(ctx, server.Instance(), &replica.Request{
 		Method: call.Method, Target: call.Target, Host: server.Address, Header: call.Header, Body: call.Body,
-		OwnConnection: call.Method != http.MethodGet,
+		OwnConnection: call.Method != http.MethodGet, Control: true,
 	})
 	if err != nil {
 		return 0, nil, err
--- a/internal/ingress/runconn.go
+++ b/internal/ingress/runconn.go
@@ -236,7 +236,9 @@
 
 // connections returns what is known of the connections to the server of a stream.
 func (s *Server) connections(st *stream, server backend.Server) migration.Connections {
-	connections := migration.Connections{OthersOpen: s.pool.OpenInUse(server.Instance())}
+	connections := migration.Connections{
+		OthersOpen: s.pool.OpenInUse(server.Instance()), OthersOpenUntil: s.pool.InUseUntil(server.Instance()),
+	}
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	if st.isBroken() {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"sync"
@@ -61,6 +62,9 @@
 	// OwnConnection is set for a request whose response names nothing by which a late copy
 	// of another response could be told from it. No other request uses its connection.
 	OwnConnection bool
+	// Control is set for a call to the control interface. Its connection does not count as in use, as
+	// another process at the address may answer it.
+	Control bool
 }
 
 // Response is the header of a response and a reader of its body. The caller must read
@@ -105,14 +109,15 @@
 
 	mu   sync.Mutex
 	idle map[backend.Instance][]*conn // most recently used last
-	// inUse holds the connections that carry a request.
-	inUse  map[backend.Instance]map[*conn]bool
-	opened int64
+	// inUse holds the connections that carry a request, and usedUntil when one was last open.
+	inUse     map[backend.Instance]map[*conn]bool
+	usedUntil map[backend.Instance]time.Time
+	opened    int64
 }
 
 // New returns a pool that dials on the network n.
 func New(n network.Network) *Pool {
-	return &Pool{network: n, idle: map[backend.Instance][]*conn{}, inUse: map[backend.Instance]map[*conn]bool{}}
+	return &Pool{network: n, idle: map[backend.Instance][]*conn{}, inUse: map[backend.Instance]map[*conn]bool{}, usedUntil: map[backend.Instance]time.Time{}}
 }
 
 // ConnectionsOpened returns the number of connections opened so far.
@@ -137,6 +142,17 @@
 	return open
 }
 
+// InUseUntil returns when a connection to an instance that carried a request of Send was last open,
+// or the zero time if that is not known.
+func (p *Pool) InUseUntil(server backend.Instance) time.Time {
+	if p.OpenInUse(server) > 0 {
+		return time.Now()
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.usedUntil[server]
+}
+
 func (p *Pool) setInUse(server backend.Instance, c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -149,6 +165,10 @@
 func (p *Pool) endUse(server backend.Instance, c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if !p.inUse[server][c] {
+		return
+	}
+	p.usedUntil[server] = time.Now()
 	delete(p.inUse[server], c)
 	if len(p.inUse[server]) == 0 {
 		delete(p.inUse, server)
@@ -166,9 +186,13 @@
 	}
 }
 
+// usedUntilRetention is how long the end of the last use of connections to an instance is kept.
+const usedUntilRetention = time.Minute
+
 // CloseExpired closes the idle connections that must not be reused.
 func (p *Pool) CloseExpired(now time.Time) {
 	p.mu.Lock()
+	maps.DeleteFunc(p.usedUntil, func(_ backend.Instance, at time.Time) bool { return now.Sub(at) > usedUntilRetention })
 	var expired []*conn
 	for server, list := range p.idle {
 		kept := list[:0]
@@ -274,7 +298,9 @@
 	}
 	x := &exchange{pool: p, server: server, conn: c}
 	x.keep, x.discard = func() { p.putIdle(server, c) }, func() { _ = c.Close() }
-	p.setInUse(server, c)
+	if !req.Control {
+		p.setInUse(server, c)
+	}
 	x.begin(ctx, req)
 	resp, err := x.readResponse(req)
 	if err != nil {
--- a/test/gateway/faileddial_test.go
+++ b/test/gateway/faileddial_test.go
@@ -151,3 +151,31 @@
 		}
 	})
 }
+
+// TestOtherStreamsShowThatAServerRuns guards against TWICE: an engine closes its listener and its
+// idle connections as it loses a stream, and continues that one and others. When the others end
+// later, it has not ended with the first one.
+func TestOtherStreamsShowThatAServerRuns(t *testing.T) {
+	const events, streams = 300, 3
+	for _, othersLostAfter := range []time.Duration{45, 150, 1000} {
+		t.Run(fmt.Sprintf("othersLostAfter%d", othersLostAfter), func(t *testing.T) {
+			runTest(t, func(_ *testing.T, env *testEnv) {
+				env.startReplicaWith("e-1", "engine", "a", upstream.Options{Engine: testEngine(), KeepsRunning: true})
+				wait := env.startStreams(streams, events, 20*time.Millisecond)
+				env.startEngine("e-2", "a")
+				env.startEngine("e-3", "a")
+				time.Sleep(time.Second)
+				env.announceLeaving("e-1")
+				time.Sleep(firstCopiesDone)
+				env.replicas["e-1"].LoseResponse("s0")
+				env.leaveListener("shutDown")
+				time.Sleep(othersLostAfter * time.Millisecond)
+				for i := 1; i < streams; i++ {
+					env.replicas["e-1"].LoseResponse(fmt.Sprintf("s%d", i))
+				}
+				wait()
+				env.checkNoRestartOrOverlap("s0")
+			})
+		})
+	}
+}
