--- a/test/faults/table_test.go
+++ b/test/faults/table_test.go
@@ -330,6 +330,8 @@
 | a second SIGTERM cuts off what a stop waits for | happened (internal/signals) | happened (internal/signals) |
 | a stream goes on at another server while the first one still runs it | resumes at the same engine only | happened when a leaving server lost the response of a stream (test/gateway, lost stream response) |
 | a request that ends its worker is given to one worker after the other | happened: one request ended up to four engines, requests with one message all of them (test/faults, crash) | happened: requests with one prompt segment (test/gateway, crash) |
+| another process at the address of a server is taken for it | no: a generation is named by an ID of its own, and resumes at its engine only | happened: its answer was taken for the end of a run, its copy was released, and it got requests for its predecessor, and the predecessor got its own (test/gateway, successor; internal/replica, instance) |
+| the body of a request stops arriving, and its caller gets no response | not looked at | happened (test/gateway, slow body) |
 | a server that takes no new connections and goes on with open ones is taken for ended | happened for quarantines (internal/caller, engine without listener) | happened: a stream was resumed elsewhere, sound segments were quarantined (test/gateway, failed dial; test/soak) |
 | many responses, each long but within its bound, take all memory of a VM | events of a stream are bounded in size and lines (internal/engine) | happened for events (test/gateway, long events) |
 | a few long bodies take all memory for bodies, and short responses fail | happened (internal/readlimit) | happened (internal/readlimit) |
