--- a/internal/control/migration/handover.go
+++ b/internal/control/migration/handover.go
@@ -77,7 +77,7 @@
 
 // MaxCloseSkew is the longest time between the ends of two connections that close because
 // their server ends.
-const MaxCloseSkew = 30 * time.Millisecond
+const MaxCloseSkew = 10 * time.Millisecond
 
 // ServerEnded reports whether a server has ended that takes no new connections, or whose address
 // another process may have: its connections have closed together. A server that shuts down in order closes its listener and
--- a/internal/control/migration/handover_test.go
+++ b/internal/control/migration/handover_test.go
@@ -181,13 +181,15 @@
 		connections migration.Connections
 		want        migration.ResumeFrom
 	}{
-		{"both closed at once", migration.Connections{StreamClosedAt: at(1000), ReservedClosedAt: at(1020)}, migration.EarlierCopy},
+		{"both closed at once", migration.Connections{StreamClosedAt: at(1000), ReservedClosedAt: at(1010)}, migration.EarlierCopy},
+		{"idle connection closed soon after", migration.Connections{StreamClosedAt: at(1000), ReservedClosedAt: at(1011)}, migration.AskAgain},
+		{"idle connection closed soon before", migration.Connections{StreamClosedAt: at(1000), ReservedClosedAt: at(989)}, migration.AskAgain},
 		{"idle connection closed before", migration.Connections{StreamClosedAt: at(1000), ReservedClosedAt: at(800)}, migration.AskAgain},
 		{"idle connection closed later", migration.Connections{StreamClosedAt: at(1000), ReservedClosedAt: at(1200)}, migration.AskAgain},
 		{"stream open", migration.Connections{ReservedClosedAt: at(1000)}, migration.AskAgain},
 		{"idle connection open", migration.Connections{StreamClosedAt: at(1000)}, migration.AskAgain},
-		{"another one open until then", migration.Connections{StreamClosedAt: at(1000), ReservedClosedAt: at(1000), OthersOpenUntil: at(1020)}, migration.EarlierCopy},
-		{"another one open for longer", migration.Connections{StreamClosedAt: at(1000), ReservedClosedAt: at(1000), OthersOpenUntil: at(1040)}, migration.AskAgain},
+		{"another one open until then", migration.Connections{StreamClosedAt: at(1000), ReservedClosedAt: at(1000), OthersOpenUntil: at(1010)}, migration.EarlierCopy},
+		{"another one open for longer", migration.Connections{StreamClosedAt: at(1000), ReservedClosedAt: at(1000), OthersOpenUntil: at(1011)}, migration.AskAgain},
 		{"another one open", migration.Connections{StreamClosedAt: at(1000), ReservedClosedAt: at(1000), OthersOpen: 1}, migration.AskAgain},
 	} {
 		for _, result := range []migration.StopResult{migration.ServerRefuses, migration.ServerUnreachable, migration.NoRunUnconfirmed} {
