--- a/internal/control/migration/handover.go
+++ b/internal/control/migration/handover.go
@@ -80,8 +80,8 @@
 const MaxCloseSkew = 10 * time.Millisecond
 
 // ServerEnded reports whether a server has ended that takes no new connections, or whose address
-// another process may have: its connections have closed together. A server that shuts down in order closes its listener and
-// its idle connections first.
+// another process may have: all connections of the VM to it have closed together. A server that
+// shuts down in order closes its listener and its idle connections first.
 func (c Connections) ServerEnded() bool {
 	if c.StreamClosedAt.IsZero() || c.ReservedClosedAt.IsZero() || c.OthersOpen > 0 {
 		return false
--- a/test/gateway/faileddial_test.go
+++ b/test/gateway/faileddial_test.go
@@ -39,12 +39,43 @@
 	return n.Network.Dial(ctx, address)
 }
 
+// leavingEvents is the number of events of the streams of leaveWithStreams.
+const leavingEvents = 300
+
+// leaveWithStreams starts streams on e-1, the only engine, and then e-2 and e-3, and returns when
+// e-1 has said that it leaves and the streams have been copied. The returned function waits for the
+// streams.
+func (env *testEnv) leaveWithStreams(streams int) func() []response {
+	wait := env.startStreams(streams, leavingEvents, 20*time.Millisecond)
+	env.startEngine("e-2", "a")
+	env.startEngine("e-3", "a")
+	time.Sleep(time.Second)
+	env.announceLeaving("e-1")
+	time.Sleep(firstCopiesDone)
+	return wait
+}
+
+// checkLostStreams closes the connections of the first streams of e-1, which continues with them,
+// and checks that none runs at two engines and that the others complete.
+func (env *testEnv) checkLostStreams(wait func() []response, lost int) {
+	env.t.Helper()
+	for i := range lost {
+		env.replicas["e-1"].LoseResponse(fmt.Sprintf("s%d", i))
+	}
+	for i, resp := range wait() {
+		env.checkNoRestartOrOverlap(fmt.Sprintf("s%d", i))
+		if i >= lost {
+			env.requireComplete(resp, leavingEvents)
+		}
+	}
+}
+
 // TestFailedDialIsNotTheEndOfARun guards against TWICE: a leaving engine takes no new
 // connections any more, but continues the runs on those that are open. Streams whose
 // connections are lost meanwhile must not run at two engines, and those that are not lost, or
 // whose engine ends, must complete.
 func TestFailedDialIsNotTheEndOfARun(t *testing.T) {
-	const events, streams, lost = 300, 5, 3
+	const streams, lost = 5, 3
 	for _, how := range []string{"refused", "ignored", "shutDown"} {
 		for _, lostAfter := range []time.Duration{1300, 2200, 2450, 3200} {
 			t.Run(fmt.Sprintf("%s/after%d", how, lostAfter), func(t *testing.T) {
@@ -57,12 +88,7 @@
 					}
 					env.startVM()
 					env.startReplicaWith("e-1", "engine", "a", upstream.Options{Engine: testEngine(), KeepsRunning: true})
-					wait := env.startStreams(streams, events, 20*time.Millisecond)
-					env.startEngine("e-2", "a")
-					env.startEngine("e-3", "a")
-					time.Sleep(time.Second)
-					env.announceLeaving("e-1")
-					time.Sleep(firstCopiesDone)
+					wait := env.leaveWithStreams(streams)
 					switch how {
 					case "refused":
 						env.replicas["e-1"].CloseListener()
@@ -72,15 +98,7 @@
 						env.replicas["e-1"].ShutDown()
 					}
 					time.Sleep(lostAfter*time.Millisecond - firstCopiesDone)
-					for i := range lost {
-						env.replicas["e-1"].LoseResponse(fmt.Sprintf("s%d", i))
-					}
-					for i, resp := range wait() {
-						env.checkNoRestartOrOverlap(fmt.Sprintf("s%d", i))
-						if i >= lost {
-							env.requireComplete(resp, events)
-						}
-					}
+					env.checkLostStreams(wait, lost)
 				})
 			})
 		}
@@ -90,26 +108,21 @@
 // TestStreamsOfEndedEngineAreResumed checks that the streams of a leaving engine are resumed
 // at once when it ends, also if it had closed its listener before.
 func TestStreamsOfEndedEngineAreResumed(t *testing.T) {
-	const events, streams = 300, 4
+	const streams = 4
 	const maxPause = 180 * time.Millisecond
 	for _, closesListener := range []bool{false, true} {
 		for _, endsAfter := range []time.Duration{1500, 1700, 2100, 2300} {
 			t.Run(fmt.Sprintf("closesListener=%v/after%d", closesListener, endsAfter), func(t *testing.T) {
 				runTest(t, func(t *testing.T, env *testEnv) {
 					env.startEngine("e-1", "a")
-					wait := env.startStreams(streams, events, 20*time.Millisecond)
-					env.startEngine("e-2", "a")
-					env.startEngine("e-3", "a")
-					time.Sleep(time.Second)
-					env.announceLeaving("e-1")
-					time.Sleep(firstCopiesDone)
+					wait := env.leaveWithStreams(streams)
 					if closesListener {
 						env.replicas["e-1"].CloseListener()
 					}
 					time.Sleep(endsAfter*time.Millisecond - firstCopiesDone)
 					env.replicas["e-1"].Stop()
 					for i, resp := range wait() {
-						env.requireComplete(resp, events)
+						env.requireComplete(resp, leavingEvents)
 						env.checkNoRestartOrOverlap(fmt.Sprintf("s%d", i))
 						if resp.longestPause > maxPause {
 							t.Errorf("stream %d paused for %v", i, resp.longestPause)
@@ -156,17 +169,12 @@
 // idle connections as it loses a stream, and continues that one and others. When the others end
 // later, it has not ended with the first one.
 func TestOtherStreamsShowThatAServerRuns(t *testing.T) {
-	const events, streams = 300, 3
+	const streams = 3
 	for _, othersLostAfter := range []time.Duration{45, 150, 1000} {
 		t.Run(fmt.Sprintf("othersLostAfter%d", othersLostAfter), func(t *testing.T) {
 			runTest(t, func(_ *testing.T, env *testEnv) {
 				env.startReplicaWith("e-1", "engine", "a", upstream.Options{Engine: testEngine(), KeepsRunning: true})
-				wait := env.startStreams(streams, events, 20*time.Millisecond)
-				env.startEngine("e-2", "a")
-				env.startEngine("e-3", "a")
-				time.Sleep(time.Second)
-				env.announceLeaving("e-1")
-				time.Sleep(firstCopiesDone)
+				wait := env.leaveWithStreams(streams)
 				env.replicas["e-1"].LoseResponse("s0")
 				env.leaveListener("shutDown")
 				time.Sleep(othersLostAfter * time.Millisecond)
--- a/test/gateway/successor_test.go
+++ b/test/gateway/successor_test.go
@@ -64,31 +64,18 @@
 // listener and continues its runs, and another one listens at its address. What that one answers
 // says nothing of the runs of its predecessor.
 func TestSuccessorAtTheAddressOfARunningEngine(t *testing.T) {
-	const events, streams, lost = 300, 5, 3
+	const streams, lost = 5, 3
 	for _, how := range []string{"closed", "shutDown"} {
 		for _, sameID := range []bool{false, true} {
 			for _, lostAfter := range []time.Duration{1300, 2200, 2450, 3200} {
 				t.Run(fmt.Sprintf("%s/sameID=%v/after%d", how, sameID, lostAfter), func(t *testing.T) {
 					runTest(t, func(_ *testing.T, env *testEnv) {
 						env.startReplicaWith("e-1", "engine", "a", upstream.Options{Engine: testEngine(), KeepsRunning: true})
-						wait := env.startStreams(streams, events, 20*time.Millisecond)
-						env.startEngine("e-2", "a")
-						env.startEngine("e-3", "a")
-						time.Sleep(time.Second)
-						env.announceLeaving("e-1")
-						time.Sleep(firstCopiesDone)
+						wait := env.leaveWithStreams(streams)
 						env.leaveListener(how)
 						env.startSuccessor(sameID)
 						time.Sleep(lostAfter*time.Millisecond - firstCopiesDone)
-						for i := range lost {
-							env.replicas["e-1"].LoseResponse(fmt.Sprintf("s%d", i))
-						}
-						for i, resp := range wait() {
-							env.checkNoRestartOrOverlap(fmt.Sprintf("s%d", i))
-							if i >= lost {
-								env.requireComplete(resp, events)
-							}
-						}
+						env.checkLostStreams(wait, lost)
 					})
 				})
 			}
@@ -99,7 +86,7 @@
 // TestStreamsOfEngineWithSuccessorAreResumed checks that the streams of a leaving engine are
 // resumed at once when it ends, although another one listens at its address at that time.
 func TestStreamsOfEngineWithSuccessorAreResumed(t *testing.T) {
-	const events, streams = 300, 4
+	const streams = 4
 	const maxPause = 180 * time.Millisecond
 	for _, how := range []string{"closed", "open"} {
 		for _, sameID := range []bool{false, true} {
@@ -107,12 +94,7 @@
 				t.Run(fmt.Sprintf("%s/sameID=%v/after%d", how, sameID, endsAfter), func(t *testing.T) {
 					runTest(t, func(t *testing.T, env *testEnv) {
 						env.startEngine("e-1", "a")
-						wait := env.startStreams(streams, events, 20*time.Millisecond)
-						env.startEngine("e-2", "a")
-						env.startEngine("e-3", "a")
-						time.Sleep(time.Second)
-						env.announceLeaving("e-1")
-						time.Sleep(firstCopiesDone)
+						wait := env.leaveWithStreams(streams)
 						if how == "closed" {
 							env.leaveListener(how)
 							env.startSuccessor(sameID)
@@ -123,7 +105,7 @@
 							env.startSuccessor(sameID)
 						}
 						for i, resp := range wait() {
-							env.requireComplete(resp, events)
+							env.requireComplete(resp, leavingEvents)
 							env.checkNoRestartOrOverlap(fmt.Sprintf("s%d", i))
 							if resp.longestPause > maxPause {
 								t.Errorf("stream %d paused for %v", i, resp.longestPause)
