soak: the run of a suspended engine ends when the engine is stopped

The listener of i-7 had been closed for 1.3 s when both of the VM's connections to it closed in the same millisecond, and the stream was resumed; the rig had stopped the engine then, while it was suspended, and recorded the end of its run when it would have been resumed. A fault of the rig: a process that is killed while it is suspended does no more work.

TestRunOfSuspendedReplicaEndsWithIt failed before and passes.

--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -149,6 +149,8 @@
 	defer r.mu.Unlock()
 	for _, gen := range r.active {
 		gen.cancel()
+		// The run ends now, also if the process is suspended.
+		r.cluster.recordEnd(gen.recorded, gen.events)
 	}
 }
 
