--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -8,7 +8,7 @@
 )
 
 // linkDelays are the one-way delays of connections to backend servers, of which one is drawn for
-// each connection: within a data centre and between regions.
+// each server: within a data centre and between regions.
 var linkDelays = []time.Duration{0, 30 * time.Millisecond}
 
 // link is the state of the connections to one backend server that the faults of the network
--- a/internal/soak/listener.go
+++ b/internal/soak/listener.go
@@ -22,9 +22,9 @@
 	resumed  *sync.Cond
 	// fill are connections that occupy the queue of new connections.
 	fill []net.Conn
-	// link is nil unless connections have a delay, which drawDelay draws.
-	link      *link
-	drawDelay func() time.Duration
+	// link is nil unless connections have a delay.
+	link  *link
+	delay time.Duration
 }
 
 func newListenNetwork() *listenNetwork {
@@ -106,5 +106,5 @@
 	if err != nil || l.network.link == nil {
 		return conn, err
 	}
-	return l.network.link.newConn(conn, l.network.drawDelay()), nil
+	return l.network.link.newConn(conn, l.network.delay), nil
 }
--- a/internal/soak/servers.go
+++ b/internal/soak/servers.go
@@ -51,7 +51,7 @@
 	f.mu.Unlock()
 	s := &server{fleet: f, id: id, number: number, service: service, network: newListenNetwork(), startedAt: time.Now()}
 	if f.opts.Profile == profileNetwork {
-		s.network.link, s.network.drawDelay = newLink(), f.drawDelay
+		s.network.link, s.network.delay = newLink(), f.drawDelay()
 	}
 	opts := upstream.Options{
 		ID: s.id, Address: f.address(groupServer+number/serversPerGroup, number%serversPerGroup+1, serverPort), Network: s.network,
@@ -104,7 +104,7 @@
 	})
 }
 
-// drawDelay draws the one-way delay of a connection.
+// drawDelay draws the one-way delay of the connections to a server.
 func (f *fleet) drawDelay() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
