headlimit: bound the memory of request heads and the connections of callers

Cause: net/http keeps a key, a slice and a map entry for each line of a head, so that a head of 15 kB of short lines takes about 220 kB, and the copy for the backend server as much again. Nothing bounded all heads, or the connections.

Change: a connection wrapper counts lines and bytes of the heads being read and of those whose requests run. When an eighth of the VM's memory is exhausted, incomplete heads are closed, the oldest first; if only requests in progress hold it, the new head gets 503 headsFull with Retry-After. Small heads have half of it to themselves. Callers' connections are bounded by memory and by the new optional setting maxDescriptors.

The largest single head is still served.

--- /dev/null
+++ b/internal/headlimit/headlimit.go
@@ -0,0 +1,330 @@
+// Package headlimit bounds the connections of callers and the memory that the heads of their
+// requests take together, from the first byte of a head to the end of its request.
+//
+// Load pattern: callers that open many connections and send heads of legal size made of very
+// many short lines, each of which takes many times its length in memory, and that hold back the
+// end. Connections whose head is not complete give way first, the oldest of them before the
+// others: an ordinary caller sends its head at once. Small heads have a part of the memory of
+// their own, so that large ones do not keep them out.
+package headlimit
+
+import (
+	"bytes"
+	"container/list"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// separatorBytes is the memory that is counted for each line of a head, and for each element
+	// of a list in it; byteFactor is that for each byte. Both include the copy that is sent to a
+	// backend server.
+	separatorBytes = 256
+	byteFactor     = 4
+	// smallHeadBytes is the memory up to which a head is small.
+	smallHeadBytes = 32 << 10
+	// refusalTimeout bounds writing a refusal.
+	refusalTimeout = 100 * time.Millisecond
+)
+
+var (
+	errRefused = eris.New("no memory left for the request head")
+	errEvicted = eris.New("connection closed in favour of others")
+)
+
+// Options configures a Limiter.
+type Options struct {
+	// MaxConns is the number of connections that may be open at once, and MemoryBytes the memory
+	// for the heads on them. Both are above 0.
+	MaxConns    int
+	MemoryBytes int64
+	// Refusal is the whole response to a head for which there is no memory.
+	Refusal []byte
+}
+
+// Counts counts what a Limiter has refused or closed.
+type Counts struct {
+	// RefusedHeads were answered with the refusal, EvictedHeads were closed before they were
+	// complete, IdleClosed between two requests.
+	RefusedHeads, EvictedHeads, IdleClosed int64
+	// RefusedConns were closed when they were opened.
+	RefusedConns int64
+}
+
+// Limiter is the limit for all connections of a listener. It is safe for concurrent use.
+type Limiter struct {
+	opts Options
+
+	mu sync.Mutex
+	// conns counts the open connections. waiting holds those whose head is not complete or has
+	// not begun, in the order in which they began to wait.
+	conns   int
+	waiting *list.List
+	// used is the memory of the small heads and of the large ones.
+	used   [sizes]int64
+	counts Counts
+}
+
+// size is the class of a head.
+type size int
+
+const (
+	small size = iota
+	large
+	sizes
+)
+
+// New returns a limiter without connections.
+func New(opts Options) *Limiter { return &Limiter{opts: opts, waiting: list.New()} }
+
+// Counts returns the counts so far.
+func (l *Limiter) Counts() Counts {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.counts
+}
+
+// Used returns the memory that is counted at present, in bytes.
+func (l *Limiter) Used() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.used[small] + l.used[large]
+}
+
+// Conn is a connection of a caller. An http.Server must report its states to Limiter.State.
+type Conn struct {
+	net.Conn
+	limiter *Limiter
+
+	// The fields below are protected by limiter.mu. element is its place in limiter.waiting, nil
+	// while a request is in progress.
+	element *list.Element
+	// cost is the memory of the head, and begun set when some of it has been read.
+	cost  int64
+	begun bool
+	// served is set after the first request.
+	served bool
+	// unread is the cost of what was read last in the previous request: the next head may have
+	// begun in it.
+	unread int64
+	// evicted is set when the limiter closed the connection, closed when it is not counted.
+	evicted, closed bool
+}
+
+// Wrap returns the limited connection, or nil when there are too many. It closes a connection
+// that waits in place of the new one if it can.
+func (l *Limiter) Wrap(conn net.Conn) *Conn {
+	l.mu.Lock()
+	var victim *Conn
+	if l.conns >= l.opts.MaxConns {
+		victim = l.connToClose()
+		if victim == nil {
+			l.counts.RefusedConns++
+			l.mu.Unlock()
+			return nil
+		}
+		l.evict(victim)
+	}
+	c := &Conn{Conn: conn, limiter: l}
+	l.conns++
+	c.element = l.waiting.PushBack(c)
+	l.mu.Unlock()
+	if victim != nil {
+		_ = victim.Conn.Close()
+	}
+	return c
+}
+
+// connToClose returns the connection that gives way to a new one: the oldest one whose head is
+// incomplete, else one that has sent nothing yet, else an idle one.
+func (l *Limiter) connToClose() *Conn {
+	var best *Conn
+	for e := l.waiting.Front(); e != nil; e = e.Next() {
+		c := e.Value.(*Conn)
+		if c.begun {
+			return c
+		}
+		if best == nil || best.served && !c.served {
+			best = c
+		}
+	}
+	return best
+}
+
+// evict removes a connection from the limiter. The caller closes it without holding mu.
+func (l *Limiter) evict(c *Conn) {
+	c.evicted = true
+	if c.begun || !c.served {
+		l.counts.EvictedHeads++
+	} else {
+		l.counts.IdleClosed++
+	}
+	l.remove(c)
+}
+
+func (l *Limiter) remove(c *Conn) {
+	l.release(c)
+	l.stopWaiting(c)
+	if !c.closed {
+		c.closed = true
+		l.conns--
+	}
+}
+
+func (l *Limiter) stopWaiting(c *Conn) {
+	if c.element != nil {
+		l.waiting.Remove(c.element)
+		c.element = nil
+	}
+}
+
+// State records the state of a connection. It is the ConnState hook of an http.Server.
+func (l *Limiter) State(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*Conn)
+	if !ok {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch state {
+	case http.StateActive:
+		// The head is complete, if only in what was read during the previous request.
+		l.add(c, c.unread)
+		c.unread = 0
+		l.stopWaiting(c)
+	case http.StateIdle:
+		l.release(c)
+		c.begun, c.served = false, true
+		if c.element == nil && !c.closed {
+			c.element = l.waiting.PushBack(c)
+		}
+	case http.StateClosed, http.StateHijacked:
+		l.remove(c)
+	case http.StateNew:
+	}
+}
+
+// Evicted reports whether the limiter has closed the connection.
+func (c *Conn) Evicted() bool {
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	return c.evicted
+}
+
+// Read reads from the connection. It fails, without a further answer of the http.Server, once
+// the limiter has closed or refused the connection.
+func (c *Conn) Read(p []byte) (int, error) {
+	if err := c.charge(0); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		if err := c.charge(costOf(p[:n])); err != nil {
+			return 0, err
+		}
+	}
+	return n, err
+}
+
+// costOf is the memory that a part of a head takes.
+func costOf(part []byte) int64 {
+	separators := bytes.Count(part, []byte{'\n'}) + bytes.Count(part, []byte{','})
+	return int64(len(part))*byteFactor + int64(separators)*separatorBytes
+}
+
+// charge counts a part of a head, and closes other connections or refuses this one if there is
+// no memory for it.
+func (c *Conn) charge(cost int64) error {
+	l := c.limiter
+	l.mu.Lock()
+	if c.evicted {
+		l.mu.Unlock()
+		return readError(errEvicted)
+	}
+	if c.element == nil {
+		if cost > 0 {
+			c.unread = cost
+		}
+		l.mu.Unlock()
+		return nil
+	}
+	cost += c.unread
+	c.unread = 0
+	if cost == 0 {
+		l.mu.Unlock()
+		return nil
+	}
+	if !c.begun {
+		c.begun = true
+		// The time that an idle connection has waited does not count.
+		l.waiting.MoveToBack(c.element)
+	}
+	l.add(c, cost)
+	victims, refused := l.makeRoom(c)
+	l.mu.Unlock()
+	for _, victim := range victims {
+		_ = victim.Conn.Close()
+	}
+	if refused {
+		_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout))
+		_, _ = c.Write(l.opts.Refusal)
+		return readError(errRefused)
+	}
+	return nil
+}
+
+// makeRoom removes connections until there is memory for the heads of the size of c's, or c
+// itself if no other one can give way. A head that has the memory of its size alone may exceed
+// it.
+func (l *Limiter) makeRoom(c *Conn) (victims []*Conn, refused bool) {
+	s := c.size()
+	for e := l.waiting.Front(); e != nil && l.exceeded(s, c); {
+		other := e.Value.(*Conn)
+		e = e.Next()
+		if other != c && other.cost > 0 && other.size() == s {
+			l.evict(other)
+			victims = append(victims, other)
+		}
+	}
+	if l.exceeded(s, c) {
+		c.evicted = true
+		l.counts.RefusedHeads++
+		l.remove(c)
+		return victims, true
+	}
+	return victims, false
+}
+
+func (l *Limiter) exceeded(s size, c *Conn) bool {
+	return l.used[s] > l.opts.MemoryBytes/int64(sizes) && l.used[s] > c.cost
+}
+
+func (c *Conn) size() size {
+	if c.cost > smallHeadBytes {
+		return large
+	}
+	return small
+}
+
+// add adds to the cost of a connection.
+func (l *Limiter) add(c *Conn, cost int64) {
+	if c.closed || cost == 0 {
+		return
+	}
+	l.used[c.size()] -= c.cost
+	c.cost += cost
+	l.used[c.size()] += c.cost
+}
+
+func (l *Limiter) release(c *Conn) {
+	l.used[c.size()] -= c.cost
+	c.cost = 0
+}
+
+// readError returns an error after which an http.Server closes the connection without a response
+// of its own.
+func readError(err error) error { return &net.OpError{Op: "read", Net: "tcp", Err: err} }
--- /dev/null
+++ b/internal/headlimit/headlimit_test.go
@@ -0,0 +1,174 @@
+package headlimit_test
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/pimentohinge/pimentohinge/internal/headlimit"
+)
+
+const refusal = "HTTP/1.1 503 Service Unavailable\r\n\r\n"
+
+// caller is a connection between a test and a limiter.
+type caller struct {
+	t       *testing.T
+	limiter *headlimit.Limiter
+	client  net.Conn
+	server  *headlimit.Conn
+	got     chan string
+}
+
+func open(t *testing.T, l *headlimit.Limiter) *caller {
+	t.Helper()
+	client, server := net.Pipe()
+	t.Cleanup(func() { _ = client.Close() })
+	c := &caller{t: t, limiter: l, client: client, server: l.Wrap(server), got: make(chan string, 1)}
+	go func() {
+		var b bytes.Buffer
+		_, _ = io.Copy(&b, client)
+		c.got <- b.String()
+	}()
+	return c
+}
+
+// send sends part of a head and reports whether the server side could read it.
+func (c *caller) send(part string) bool {
+	go func() { _, _ = io.WriteString(c.client, part) }()
+	_, err := io.ReadFull(c.server, make([]byte, len(part)))
+	if err != nil {
+		_ = c.server.Close()
+	}
+	return err == nil
+}
+
+func (c *caller) state(state http.ConnState) { c.limiter.State(c.server, state) }
+
+// received returns all bytes that the caller got until the connection was closed.
+func (c *caller) received() string {
+	select {
+	case got := <-c.got:
+		return got
+	case <-time.After(10 * time.Second):
+		c.t.Fatal("the connection was not closed")
+		return ""
+	}
+}
+
+// shortLines takes about 130 kB of a limiter's memory.
+var shortLines = strings.Repeat("a:\r\n", 500)
+
+func newLimiter(memory int64) *headlimit.Limiter {
+	return headlimit.New(headlimit.Options{MaxConns: 4, MemoryBytes: memory, Refusal: []byte(refusal)})
+}
+
+// TestHeldBackHeadsGiveWay sends more heads than there is memory for, none of them to its end.
+func TestHeldBackHeadsGiveWay(t *testing.T) {
+	l := newLimiter(600_000)
+	held := []*caller{open(t, l), open(t, l)}
+	for _, c := range held {
+		c.send(shortLines)
+	}
+	if !open(t, l).send(shortLines) {
+		t.Error("the newest head was refused")
+	}
+	if got := held[0].received(); got != "" || !held[0].server.Evicted() || held[1].server.Evicted() {
+		t.Errorf("oldest connection: got %q, closed %v; next one closed %v", got, held[0].server.Evicted(), held[1].server.Evicted())
+	}
+}
+
+// TestHeadIsRefusedBehindRequestsInProgress fills the memory with heads whose requests run.
+func TestHeadIsRefusedBehindRequestsInProgress(t *testing.T) {
+	l := newLimiter(600_000)
+	running := []*caller{open(t, l), open(t, l)}
+	for _, c := range running {
+		c.send(shortLines)
+		c.state(http.StateActive)
+	}
+	large, ordinary := open(t, l), open(t, l)
+	if large.send(shortLines) {
+		t.Error("a large head was read")
+	}
+	if diff := cmp.Diff(refusal, large.received()); diff != "" {
+		t.Errorf("refusal (-want +got):\n%s", diff)
+	}
+	if !ordinary.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n") {
+		t.Error("a small head was refused")
+	}
+	running[0].state(http.StateIdle)
+	if !open(t, l).send(shortLines) {
+		t.Error("a large head was refused after a request had ended")
+	}
+	if diff := cmp.Diff(headlimit.Counts{RefusedHeads: 1}, l.Counts()); diff != "" {
+		t.Errorf("counts (-want +got):\n%s", diff)
+	}
+}
+
+// TestSingleHeadMayExceedTheMemory sends one head that takes more than its part.
+func TestSingleHeadMayExceedTheMemory(t *testing.T) {
+	l := newLimiter(1000)
+	c := open(t, l)
+	if !c.send(shortLines) {
+		t.Error("the head was refused")
+	}
+	c.state(http.StateActive)
+	c.state(http.StateClosed)
+	if l.Used() != 0 {
+		t.Errorf("%d bytes are left", l.Used())
+	}
+}
+
+// TestPipelinedHeadIsCounted sends the next head with the body of a request.
+func TestPipelinedHeadIsCounted(t *testing.T) {
+	l := newLimiter(600_000)
+	c := open(t, l)
+	c.send("POST / HTTP/1.1\r\n\r\n")
+	c.state(http.StateActive)
+	c.send(shortLines)
+	c.state(http.StateIdle)
+	if l.Used() != 0 {
+		t.Errorf("an idle connection takes %d bytes", l.Used())
+	}
+	c.state(http.StateActive)
+	if l.Used() < 100_000 {
+		t.Errorf("the second head takes %d bytes", l.Used())
+	}
+}
+
+// TestConnectionsGiveWayInOrder opens more connections than allowed. A head that is held back
+// gives way first, then a silent connection, then an idle one; requests in progress do not.
+func TestConnectionsGiveWayInOrder(t *testing.T) {
+	l := newLimiter(1 << 20)
+	idle, silent, running, held := open(t, l), open(t, l), open(t, l), open(t, l)
+	for _, c := range []*caller{idle, running} {
+		c.send("GET /")
+		c.state(http.StateActive)
+	}
+	idle.state(http.StateIdle)
+	held.send("GET /")
+	var order []string
+	for range 3 {
+		next := open(t, l)
+		next.send("GET /")
+		next.state(http.StateActive)
+		for name, c := range map[string]*caller{"idle": idle, "silent": silent, "running": running, "held": held} {
+			if c.server.Evicted() && !bytes.Contains([]byte(strings.Join(order, " ")), []byte(name)) {
+				order = append(order, name)
+			}
+		}
+	}
+	if diff := cmp.Diff([]string{"held", "silent", "idle"}, order); diff != "" {
+		t.Errorf("closed connections (-want +got):\n%s", diff)
+	}
+	client, server := net.Pipe()
+	defer func() { _ = client.Close() }()
+	if l.Wrap(server) != nil {
+		t.Error("a connection was accepted while requests are in progress on all")
+	}
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -20,6 +20,7 @@
 	"github.com/pimentohinge/pimentohinge/internal/control/dispatch"
 	"github.com/pimentohinge/pimentohinge/internal/control/poison"
 	"github.com/pimentohinge/pimentohinge/internal/control/stopping"
+	"github.com/pimentohinge/pimentohinge/internal/headlimit"
 	"github.com/pimentohinge/pimentohinge/internal/network"
 	"github.com/pimentohinge/pimentohinge/internal/readlimit"
 	"github.com/pimentohinge/pimentohinge/internal/replica"
@@ -135,7 +136,7 @@
 	s.quarantines = newQuarantineStore(store, opts.Log, s.metrics, s.peers.leads, func(evidence poison.Evidence) {
 		s.loop.post(dispatch.PeerEvidence{Evidence: evidence, PassOn: true})
 	})
-	s.frontend = newFrontend(s.handler(), s.spawn, s.log)
+	s.frontend = newFrontend(s.handler(), s.spawn, s.log, newHeadLimiter(opts.Settings))
 	return s
 }
 
@@ -161,7 +162,7 @@
 			s.Kill()
 			return eris.Wrapf(err, "listen for %s at %s", endpoint.name, endpoint.address)
 		}
-		server := &http.Server{Handler: endpoint.handler, ReadHeaderTimeout: internalHeaderTimeout}
+		server := &http.Server{Handler: endpoint.handler, ReadHeaderTimeout: internalHeaderTimeout, MaxHeaderBytes: defaultHeaderBytes}
 		s.spawn(func() { _ = server.Serve(ln) })
 		context.AfterFunc(s.ctx, func() { _ = server.Close() })
 	}
@@ -200,8 +201,10 @@
 
 // sweepLoop closes expired idle connections and reports suppressed log lines.
 func (s *Server) sweepLoop() {
+	var limited headlimit.Counts
 	for sleep.For(s.ctx, sweepInterval) {
 		s.pool.CloseExpired(time.Now())
+		limited = s.reportLimits(limited)
 		if n := s.skippedLines.Swap(0); n > 0 {
 			s.log.Info().Str("event", "linesSkipped").Int64("count", n).Msg("")
 		}
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -18,6 +18,7 @@
 	storeCalls       *prometheus.CounterVec
 	serverChecks     *prometheus.CounterVec
 	notices          *prometheus.CounterVec
+	callerLimits     *prometheus.CounterVec
 	quarantined      prometheus.Gauge
 	configVersion    prometheus.Gauge
 }
@@ -47,6 +48,9 @@
 		notices: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pimentohinge_server_notices_total", Help: "What servers say of themselves in responses: that they leave, or want no requests for a while.",
 		}, []string{"notice"}),
+		callerLimits: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pimentohinge_caller_limits_total", Help: "Request heads and connections of callers that were refused or closed to bound memory and descriptors.",
+		}, []string{"action"}),
 		quarantined: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "pimentohinge_quarantined_segments", Help: "Prompt segments whose requests are refused, as engines crashed on them.",
 		}),
@@ -54,7 +58,7 @@
 			Name: "pimentohinge_config_version", Help: "Version of the configuration in force.",
 		}),
 	}
-	m.registry.MustRegister(m.requests, m.firstByteSeconds, m.resumes, m.moves, m.storeCalls, m.serverChecks, m.notices, m.quarantined, m.configVersion)
+	m.registry.MustRegister(m.requests, m.firstByteSeconds, m.resumes, m.moves, m.storeCalls, m.serverChecks, m.notices, m.callerLimits, m.quarantined, m.configVersion)
 	return m
 }
 
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -68,6 +68,7 @@
 	SlowBody            Cause = "slowBody"
 	BrokenResponse      Cause = "brokenAnswer"
 	VMFull              Cause = "vmFull"
+	HeadsFull           Cause = "headsFull"
 	PromptQuarantined   Cause = "promptQuarantined"
 )
 
@@ -139,6 +140,7 @@
 	NotReady:            {http.StatusServiceUnavailable, "The entry VM had no configuration yet."},
 	SlowBody:            {http.StatusRequestTimeout, "The body of the request did not arrive in time."},
 	VMFull:              {http.StatusServiceUnavailable, "The entry VM had no memory left for the body of the request."},
+	HeadsFull:           {http.StatusServiceUnavailable, "The entry VM had no memory left for the head of the request."},
 	BrokenResponse:      {http.StatusBadGateway, "The backend server sent what is no answer to the request, or broke it off."},
 	PromptQuarantined:   {http.StatusServiceUnavailable, "Several engines crashed on a segment of the prompt, so requests with it are not run for now."},
 	WeightStoreRate:     {http.StatusServiceUnavailable, "The model's weights were still loading at the weight store's rate."},
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -21,6 +21,9 @@
 	Bounds Bounds `json:"bounds"`
 	// MemoryMb is the memory available to the process in megabytes.
 	MemoryMb int `json:"memoryMb"`
+	// MaxDescriptors is the number of descriptors available to the process; 0 means that only the
+	// memory limits connections.
+	MaxDescriptors int `json:"maxDescriptors"`
 	// Log holds the log level.
 	Log Log `json:"log"`
 }
@@ -82,6 +85,8 @@
 	maxRetryWindowS = 600
 	minMemoryMb     = 16
 	maxMemoryMb     = 1 << 20
+	minDescriptors  = 216
+	maxDescriptors  = 1 << 24
 	minBoundMs      = 500
 	maxBoundMs      = 600_000
 )
@@ -118,6 +123,9 @@
 	}
 	config.Bounds.check(problems)
 	checkRange(problems, "memoryMb", config.MemoryMb, minMemoryMb, maxMemoryMb)
+	if config.MaxDescriptors != 0 {
+		checkRange(problems, "maxDescriptors", config.MaxDescriptors, minDescriptors, maxDescriptors)
+	}
 	config.Log.check(problems)
 	if len(problems.list) > 0 {
 		return Gateway{}, &Problems{File: file, List: firstPerKey(problems.list)}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -107,7 +107,7 @@
 	"listen.front|json": `"10.1.0.19:8740"`, "listen.ready|json": `"10.1.0.19:8749"`, "ip": "10.1.0.19",
 	"portRange.0": "7200", "platform.addr|json": `"10.200.1.7:8742"`, "zones|json": `{"walsall-a":"black-country"}`,
 	"bounds.graceS": "8", "bounds.configApplyMs": "3000", "bounds.drainMs": "3000", "bounds.retryRatio": "0.2",
-	"limits.memoryMb": "134", "bounds.retrySlack": "52", "bounds.retryWindowS": "10",
+	"limits.memoryMb": "134", "limits.maxFds": "4100", "bounds.retrySlack": "52", "bounds.retryWindowS": "10",
 }
 
 func filledTemplate(t *testing.T) string {
@@ -146,6 +146,7 @@
 		{`"retryRatio": 0.2`, `"retryRatio": 2`, "bounds.retryRatio"},
 		{`"retryWindowS": 10`, `"retryWindowS": 0`, "bounds.retryWindowS"},
 		{`"memoryMb": 134`, `"memoryMb": 1`, "memoryMb"},
+		{`"maxDescriptors": 4100`, `"maxDescriptors": 100`, "maxDescriptors"},
 		{`"store"`, `"stores"`, "stores"},
 		{`{"walsall-a":"black-country"}`, `{"Walsall A":"black-country"}`, "dataCentres"},
 		{`{"walsall-a":"black-country"}`, `[]`, "dataCentres"},
--- a/test/headflood/headflood_test.go
+++ b/test/headflood/headflood_test.go
@@ -27,6 +27,8 @@
 	// memoryMb is the memory of the VM, and maxDescriptors the descriptors that it may use.
 	memoryMb       = 64
 	maxDescriptors = 256
+	// manyDescriptors are enough for the whole crowd.
+	manyDescriptors = 4100
 	// crowdSize is the number of connections of the crowd. Each sends a head of headBytes.
 	crowdSize = 400
 	headBytes = 15_000
@@ -59,7 +61,7 @@
 }
 
 // startVM starts a store, a plain server and one gateway process, which end with the test.
-func startVM(t *testing.T, program string) *vm {
+func startVM(t *testing.T, program string, descriptors int) *vm {
 	t.Helper()
 	s := store.New()
 	ln, err := net.Listen("tcp", storeAddr)
@@ -90,7 +92,7 @@
 	settings, err := json.Marshal(object{
 		"vm":     object{"name": "vm-1", "region": "region-a", "dataCentre": "dc-a"},
 		"listen": object{"callers": callers, "ready": ready, "peers": peers},
-		"store":  object{"address": storeAddr}, "memoryMb": memoryMb,
+		"store":  object{"address": storeAddr}, "memoryMb": memoryMb, "maxDescriptors": descriptors,
 		"dataCentres": object{"dc-a": "region-a"},
 		"bounds":      object{"graceS": 8, "configMs": 3000, "drainMs": 3000, "retryRatio": 0.2, "retrySlack": 52, "retryWindowS": 10},
 	})
@@ -270,26 +272,28 @@
 	return program
 }
 
-// TestHeadFlood guards against callers whose heads take a process beyond the memory or the
-// descriptors of its machine. Each crowd meets a new process.
-func TestHeadFlood(t *testing.T) {
+// crowds are the crowds that meet a process, each a new one.
+var crowds = []struct {
+	name, shape string
+	held        bool
+}{
+	{"distinct-held", "distinct", true},
+	{"distinct-sent", "distinct", false},
+	{"repeated-held", "repeated", true},
+	{"repeated-sent", "repeated", false},
+	{"folded-held", "folded", true},
+	{"folded-sent", "folded", false},
+}
+
+// checkCrowds lets each crowd meet a process that may use a number of descriptors.
+func checkCrowds(t *testing.T, descriptors int) {
 	program := build(t)
-	for _, c := range []struct {
-		name, shape string
-		held        bool
-	}{
-		{"distinct-held", "distinct", true},
-		{"distinct-sent", "distinct", false},
-		{"repeated-held", "repeated", true},
-		{"repeated-sent", "repeated", false},
-		{"folded-held", "folded", true},
-		{"folded-sent", "folded", false},
-	} {
+	for _, c := range crowds {
 		t.Run(c.name, func(t *testing.T) {
-			v := startVM(t, program)
+			v := startVM(t, program, descriptors)
 			end := crowd(shapes[c.shape], c.held)
 			defer end()
-			if !ordinaryRequest("ordinary-"+c.name) {
+			if !ordinaryRequest("ordinary-" + c.name) {
 				t.Error("an ordinary request got no response of a server")
 			}
 			select {
@@ -300,22 +304,29 @@
 			peak := v.peakMemoryMb()
 			_ = v.cmd.Process.Kill()
 			<-v.watched
-			t.Logf("peak memory %d MB of %d, %d descriptors", peak, memoryMb, v.descriptors)
+			t.Logf("peak memory %d MB of %d, %d descriptors of %d", peak, memoryMb, v.descriptors, descriptors)
 			if peak > memoryMb {
 				t.Errorf("the process took %d MB, its machine has %d", peak, memoryMb)
 			}
-			if v.descriptors > maxDescriptors {
-				t.Errorf("the process had %d descriptors open, its machine has %d", v.descriptors, maxDescriptors)
+			if v.descriptors > descriptors {
+				t.Errorf("the process had %d descriptors open, its machine has %d", v.descriptors, descriptors)
 			}
 		})
 	}
 }
 
+// TestHeadFlood guards against callers whose heads take a process beyond the memory or the
+// descriptors of its machine.
+func TestHeadFlood(t *testing.T) { checkCrowds(t, maxDescriptors) }
+
+// TestHeadFloodWithManyDescriptors leaves room for all connections, so that only the memory for
+// heads is short.
+func TestHeadFloodWithManyDescriptors(t *testing.T) { checkCrowds(t, manyDescriptors) }
+
 // TestLargestHeadIsServedInCalm sends one request whose head has as many lines as fit into the
 // limit of the configuration.
 func TestLargestHeadIsServedInCalm(t *testing.T) {
-	program := build(t)
-	startVM(t, program)
+	startVM(t, build(t), maxDescriptors)
 	for name, line := range shapes {
 		conn, err := net.Dial("tcp", callers)
 		if err != nil {
