dispatch, catalog: home regions, evacuations and cold servers

Change: the core knows why a server may not get a request (obstacle.go): it leaves, is in no home region, its data centre is evacuated, it wants none, or it is cold and this VM has sent its share. All ways on which a request or its memory leaves a VM pass there. The catalog follows the evacuations as it does servers. Long streams of an evacuated data centre migrate. The rate of a cold server is dealt by rendezvous hashing over all VM names. A fourth figure in a load report no longer hides it.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -65,4 +65,6 @@
 type Load struct {
 	// Running and Waiting count requests. Slots is how many run at once.
 	Running, Waiting, Slots int
+	// PacePercent is how long work takes at present, 100 if as usual.
+	PacePercent int
 }
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -13,6 +13,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -30,6 +31,9 @@
 	// linearizableShare is the longest time between two linearizable reads as a share of
 	// PropagationBound. The rest of the bound is left for that read and the next.
 	linearizableShare = 2.0 / 3
+	// evacuationShare is linearizableShare for evacuations, as a share of EvacuationBound: they are
+	// rare, and the second read is not needed.
+	evacuationShare = 0.85
 	// staleWaitShare is the longest wait of one stale watch as a share of
 	// linearizableInterval.
 	staleWaitShare = 0.3
@@ -54,8 +58,9 @@
 type Options struct {
 	Store *platform.Client
 	Log   *log.Logger
-	// PropagationBound is the time within which a change in the store must take effect.
-	PropagationBound time.Duration
+	// PropagationBound is the time within which a change of the configuration or of a server must
+	// take effect, EvacuationBound that for an evacuation.
+	PropagationBound, EvacuationBound time.Duration
 	// BeginRead is called before each linearizable read of a prefix. The function that
 	// it returns is called with the version that was read. It may be nil.
 	BeginRead func(prefix string) func(version int64)
@@ -66,6 +71,9 @@
 	// server changes, both from goroutines of the catalog.
 	OnState   func(*routing.State)
 	OnServers func([]ServerChange)
+	// OnEvacuations is called with each set of evacuated data centres that differs from the one
+	// before, from a goroutine of the catalog. If it is nil, evacuations are not read.
+	OnEvacuations func(dataCentres map[string]bool)
 	// OnStoreCall is called after each call to the store. It may be nil.
 	OnStoreCall func(prefix string, linearizable bool, status platform.Status)
 	// OnServersUnavailable is called when the server list cannot be read any more. It must
@@ -75,23 +83,34 @@
 
 // Catalog holds the latest state read from the store. Run keeps it current.
 type Catalog struct {
-	opts                 Options
-	state                atomic.Pointer[routing.State]
-	serversUnavailable   atomic.Bool
-	storeCalls           atomic.Int64
-	staleStore           *platform.Client
-	linearizableInterval time.Duration        // longest time between two linearizable reads
-	feeds                map[string]*peerFeed // by prefix; the map itself is never modified
-	leaderUntil          atomic.Int64         // Unix ns
-	followers            atomic.Int64
+	opts               Options
+	state              atomic.Pointer[routing.State]
+	serversUnavailable atomic.Bool
+	storeCalls         atomic.Int64
+	staleStore         *platform.Client
+	feeds              map[string]*peerFeed // by prefix; the map itself is never modified
+	leaderUntil        atomic.Int64         // Unix ns
+	followers          atomic.Int64
 }
 
 // New returns an empty catalog; Run fills it.
 func New(opts Options) *Catalog {
-	return &Catalog{
-		opts: opts, staleStore: opts.Store.WithStaleReads(), linearizableInterval: time.Duration(float64(opts.PropagationBound) * linearizableShare),
+	c := &Catalog{
+		opts: opts, staleStore: opts.Store.WithStaleReads(),
 		feeds: map[string]*peerFeed{platform.ConfigPrefix: newPeerFeed(), platform.ServerPrefix: newPeerFeed()},
 	}
+	if opts.OnEvacuations != nil {
+		c.feeds[platform.EvacuationPrefix] = newPeerFeed()
+	}
+	return c
+}
+
+// linearizableInterval is the longest time between two linearizable reads of a prefix.
+func (c *Catalog) linearizableInterval(prefix string) time.Duration {
+	if prefix == platform.EvacuationPrefix {
+		return time.Duration(float64(c.opts.EvacuationBound) * evacuationShare)
+	}
+	return time.Duration(float64(c.opts.PropagationBound) * linearizableShare)
 }
 
 // State returns the newest configuration, or nil before the first one was read.
@@ -105,15 +124,24 @@
 
 // Run watches the store until the context ends.
 func (c *Catalog) Run(ctx context.Context) {
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
+	var others sync.WaitGroup
+	others.Go(func() {
 		c.watchPrefix(ctx, prefixHandler{prefix: platform.ConfigPrefix, apply: c.applyConfig, storeLost: func() {}, storeRecovered: func() {}})
-	}()
+	})
+	if c.opts.OnEvacuations != nil {
+		evacuations := newEvacuations()
+		others.Go(func() {
+			c.watchPrefix(ctx, prefixHandler{prefix: platform.EvacuationPrefix, mayBeginStale: true, storeLost: func() {}, storeRecovered: func() {}, apply: func(listing platform.Listing) {
+				if evacuations.apply(listing) {
+					c.opts.OnEvacuations(evacuations.dataCentres())
+				}
+			}})
+		})
+	}
 	servers := &serverLoop{ctx: ctx, catalog: c, servers: NewServers(), updates: make(chan serverUpdate)}
 	go servers.run()
 	c.watchPrefix(ctx, prefixHandler{prefix: platform.ServerPrefix, apply: servers.apply, storeLost: servers.storeLost, storeRecovered: servers.storeRecovered})
-	<-done
+	others.Wait()
 }
 
 // prefixHandler processes the changes below one prefix.
@@ -123,6 +151,9 @@
 	// storeLost is called after each failed call, storeRecovered when changes can be
 	// read again.
 	storeLost, storeRecovered func()
+	// mayBeginStale is set if the first listing may be seconds old. A linearizable read, here or
+	// by another VM, follows within linearizableInterval.
+	mayBeginStale bool
 }
 
 // cursor is the progress of watching one prefix.
@@ -167,7 +198,8 @@
 			return
 		}
 		cur.calledAt = time.Now()
-		linearizable := c.isLeaderAt(cur.calledAt) || cur.needsLinearizable(cur.calledAt, c.linearizableInterval)
+		beginsStale := handler.mayBeginStale && cur.version < 0 && cur.linearizableAt.IsZero() && !cur.storeDown
+		linearizable := !beginsStale && (c.isLeaderAt(cur.calledAt) || cur.needsLinearizable(cur.calledAt, c.linearizableInterval(handler.prefix)))
 		endRead := c.beginRead(handler.prefix, linearizable)
 		readCtx, end := ctx, context.CancelFunc(func() {})
 		if cur.version >= 0 {
@@ -214,6 +246,9 @@
 			c.opts.Log.Warn().Str("event", "entriesUnread").Str("prefix", handler.prefix).Int("count", listing.Malformed).Msg("")
 		}
 		handler.apply(listing)
+		if beginsStale {
+			cur.linearizableAt = now
+		}
 		if linearizable {
 			cur.linearizableAt = now
 			endRead(listing.Version)
@@ -266,6 +301,8 @@
 	c.storeCalls.Add(1)
 	now := time.Now()
 	switch {
+	case cur.version < 0 && !linearizable:
+		return c.staleStore.List(ctx, prefix)
 	case cur.version < 0:
 		return c.opts.Store.ListPages(ctx, prefix, func(page []platform.Object) {
 			// Use each page while the next one is being read.
@@ -276,8 +313,8 @@
 	case !linearizable:
 		// Return before linearizableInterval is over, so that confirmations received
 		// from other VMs meanwhile can be applied.
-		until := cur.linearizableAt.Add(c.linearizableInterval)
-		if limit := now.Add(time.Duration(float64(c.linearizableInterval) * staleWaitShare)); limit.Before(until) {
+		until := cur.linearizableAt.Add(c.linearizableInterval(prefix))
+		if limit := now.Add(time.Duration(float64(c.linearizableInterval(prefix)) * staleWaitShare)); limit.Before(until) {
 			until = limit
 		}
 		return c.staleStore.Watch(ctx, prefix, cur.version, until)
--- a/internal/catalog/feed.go
+++ b/internal/catalog/feed.go
@@ -16,8 +16,8 @@
 	maxQueuedChanges = 64
 	// serverFeedFreshness is the age up to which another VM's linearizable read of the
 	// server list makes this VM rely on receiving changes from it. It is short because
-	// a shutdown notice is useful for only a second or two. For the configuration the
-	// age is linearizableInterval.
+	// a shutdown notice is useful for only a second or two. For other prefixes the age is
+	// linearizableInterval.
 	serverFeedFreshness = 1600 * time.Millisecond
 	// leaderServerWait is the longest wait of one watch of the server list by a leader,
 	// leaderConfigWaitShare of one watch of the configuration. singleVMWaitShare is for
@@ -204,9 +204,9 @@
 func (c *Catalog) leaderWait(prefix string) time.Duration {
 	switch {
 	case c.followers.Load() == 0:
-		return time.Duration(float64(c.linearizableInterval) * singleVMWaitShare)
-	case prefix == platform.ConfigPrefix:
-		return time.Duration(float64(c.linearizableInterval) * leaderConfigWaitShare)
+		return time.Duration(float64(c.linearizableInterval(prefix)) * singleVMWaitShare)
+	case prefix != platform.ServerPrefix:
+		return time.Duration(float64(c.linearizableInterval(prefix)) * leaderConfigWaitShare)
 	}
 	return leaderServerWait
 }
@@ -214,8 +214,8 @@
 // feedFreshness is how long after another VM's linearizable read this VM relies on
 // receiving changes from it.
 func (c *Catalog) feedFreshness(prefix string) time.Duration {
-	if prefix == platform.ConfigPrefix {
-		return c.linearizableInterval
+	if prefix != platform.ServerPrefix {
+		return c.linearizableInterval(prefix)
 	}
 	return serverFeedFreshness
 }
@@ -230,7 +230,7 @@
 		return time.Time{}
 	}
 	until := c.feeds[prefix].lastReadAt().Add(c.feedFreshness(prefix))
-	if due := cur.linearizableAt.Add(c.linearizableInterval); due.Before(until) {
+	if due := cur.linearizableAt.Add(c.linearizableInterval(prefix)); due.Before(until) {
 		until = due
 	}
 	return until
@@ -298,7 +298,7 @@
 	case listing.Full:
 		// Followers at an older version read the store themselves.
 		change.After = listing.Version
-	case prefix == platform.ServerPrefix:
+	case prefix != platform.ConfigPrefix:
 		change.Objects = listing.Objects
 	default:
 		// A configuration may be too large to be sent to all followers at once.
--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pimentohinge/pimentohinge/internal/backend"
+	"github.com/pimentohinge/pimentohinge/internal/control/rendezvous"
 	"github.com/pimentohinge/pimentohinge/internal/routing"
 )
 
@@ -21,6 +22,10 @@
 	RetryRatio  float64
 	RetryWindow time.Duration
 	RetrySlack  float64
+	// EvacuationBound is the time within which an evacuation must be in force.
+	EvacuationBound time.Duration
+	// BoundsCold makes the VMs bound together what they send to cold servers.
+	BoundsCold bool
 }
 
 // Core places the requests of this VM. It holds the known state of the backend
@@ -35,6 +40,10 @@
 	// fleetSize is the number of VMs that share the retry budgets, localSize that of the
 	// VMs in this data centre.
 	fleetSize, localSize int
+	// fleet holds all VMs that have ever been known; empty before they were read.
+	fleet rendezvous.Set
+	// evacuated holds the data centres to whose servers nothing new may be sent.
+	evacuated map[string]bool
 	// peerLedgers are from this data centre, remoteLedgers from others.
 	peerLedgers, remoteLedgers *ledgerSet
 	// failing holds the servers at which requests of this VM have failed recently, by ID.
@@ -53,6 +62,9 @@
 	// engine describes the model replicas of its service; nil for a plain service.
 	engine    *routing.Engine
 	proximity proximity
+	region    string
+	// warmUp bounds what is sent to it while it is cold.
+	warmUp warmUp
 	// tieBreak orders servers of equal cost.
 	tieBreak uint64
 	// requests are the open requests of this VM on the server.
@@ -165,6 +177,11 @@
 		}
 	case FleetSize:
 		c.fleetSize, c.localSize = msg.VMs, msg.Local
+		if len(msg.Names) > 0 {
+			c.fleet = rendezvous.NewSet(msg.Names)
+		}
+	case EvacuationsChanged:
+		c.evacuationsChanged(now, msg.DataCentres)
 	case ServerLeaving:
 		if srv, ok := c.servers[msg.Server.ID]; ok && srv.Instance() == msg.Server {
 			c.serverLeaves(now, srv)
@@ -209,6 +226,7 @@
 		}
 		wasLeaving := srv.Leaving
 		srv.Server, srv.engine, srv.proximity = update, c.services[update.Service].Engine, c.proximityOf(update.DataCentre)
+		srv.region = c.opts.Regions[update.DataCentre]
 		srv.Leaving = srv.Leaving || wasLeaving
 		if srv.Leaving {
 			c.serverLeaves(now, srv)
@@ -261,19 +279,26 @@
 	action := MigrateStreams{Server: srv.Server}
 	for _, r := range srv.requests {
 		if r.Kind == routing.Streaming {
-			action.Streams = append(action.Streams, StreamToMigrate{
-				ID: r.ID, CachedTokens: r.cachedTokens(), RemainingTokens: r.remainingOutput(),
-			})
+			action.Streams = append(action.Streams, r.toMigrate())
 		}
 	}
-	// The stream with the most output left is the most likely to be cut off.
-	slices.SortFunc(action.Streams, func(x, y StreamToMigrate) int {
+	sortByRemaining(action.Streams)
+	c.emit(action)
+}
+
+// sortByRemaining puts the stream with the most output left first: it is the most likely to be
+// cut off.
+func sortByRemaining(streams []StreamToMigrate) {
+	slices.SortFunc(streams, func(x, y StreamToMigrate) int {
 		if x.RemainingTokens != y.RemainingTokens {
 			return y.RemainingTokens - x.RemainingTokens
 		}
 		return int(x.ID) - int(y.ID)
 	})
-	c.emit(action)
+}
+
+func (r *request) toMigrate() StreamToMigrate {
+	return StreamToMigrate{ID: r.ID, CachedTokens: r.cachedTokens(), RemainingTokens: r.remainingOutput()}
 }
 
 func (c *Core) responseStarted(now time.Time, msg ResponseStarted) {
@@ -284,16 +309,20 @@
 	req.responseStarted = true
 	req.progressAt = now
 	c.paceOf(req.Service).addStart(now.Sub(req.placedAt))
-	req.assigned.connectFailures = 0
+	c.serverReached(now, req.assigned)
 	req.assigned.recent.served.add(now)
 	c.markLedgerChanged()
 	req.assigned.recordLoad(now, msg.Load)
 	req.assigned.failureRate *= failureDecay
-	if req.assigned.mayMigrate() && req.Kind == routing.Streaming {
-		// The stream had no response yet when migration was requested.
-		c.emit(MigrateStreams{Server: req.assigned.Server, Streams: []StreamToMigrate{
-			{ID: req.ID, CachedTokens: req.cachedTokens(), RemainingTokens: req.remainingOutput()},
-		}})
+	if req.Kind != routing.Streaming {
+		return
+	}
+	// The stream had no response yet when migration was requested.
+	switch {
+	case req.assigned.mayMigrate():
+		c.emit(MigrateStreams{Server: req.assigned.Server, Streams: []StreamToMigrate{req.toMigrate()}})
+	case c.evacuated[req.assigned.DataCentre] && c.outlastsEvacuation(req):
+		c.emit(MigrateStreams{Server: req.assigned.Server, Streams: []StreamToMigrate{req.toMigrate()}, Evacuation: true})
 	}
 }
 
@@ -320,7 +349,7 @@
 	c.recordSoundness(now, req, msg)
 	if msg.Verdict != Unreachable && msg.Verdict != Cancelled {
 		// It was reached, whatever it answered.
-		srv.connectFailures = 0
+		c.serverReached(now, srv)
 	}
 	switch msg.Verdict {
 	case Served:
@@ -339,6 +368,7 @@
 	case Unreachable:
 		c.recordFailure(now, srv)
 		srv.avoidUntil = now.Add(connectBackoff << min(srv.connectFailures, maxBackoffDoublings))
+		c.becomesCold(srv.avoidUntil, srv)
 		srv.connectFailures++
 	case Cancelled:
 	}
@@ -359,6 +389,7 @@
 		}
 	}
 	c.retryBudget(req.Service).retries.add(now)
+	c.sentTo(now, to)
 	if to == req.assigned {
 		return
 	}
@@ -367,9 +398,7 @@
 	to.requests[req.ID] = req
 	if to.mayMigrate() {
 		// The new server began to leave while the copy was in flight.
-		c.emit(MigrateStreams{Server: to.Server, Streams: []StreamToMigrate{
-			{ID: req.ID, CachedTokens: req.cachedTokens(), RemainingTokens: req.remainingOutput()},
-		}})
+		c.emit(MigrateStreams{Server: to.Server, Streams: []StreamToMigrate{req.toMigrate()}})
 	}
 }
 
--- a/internal/control/dispatch/messages.go
+++ b/internal/control/dispatch/messages.go
@@ -47,6 +47,8 @@
 	Excluded []string
 	// Retry is set when the request was sent to a replica before.
 	Retry bool
+	// Homes restricts the regions of the server.
+	Homes routing.Homes
 }
 
 // ResponseStarted reports the first event of a stream. The header of its response says
@@ -118,13 +120,22 @@
 	ID uint64
 	// Excluded are the IDs of servers that had no room.
 	Excluded []string
+	// Homes restricts the regions of the server.
+	Homes routing.Homes
 }
 
 // ReleaseTarget releases the room reserved for a stream's copy.
 type ReleaseTarget struct{ ID uint64 }
 
-// FleetSize sets the number of VMs in the fleet and in this data centre.
-type FleetSize struct{ VMs, Local int }
+// FleetSize sets the number of VMs in the fleet and in this data centre, and the names of all
+// VMs that have ever been known, in order, once this VM has read them in the store.
+type FleetSize struct {
+	VMs, Local int
+	Names      []string
+}
+
+// EvacuationsChanged replaces the set of data centres to whose servers nothing new may be sent.
+type EvacuationsChanged struct{ DataCentres map[string]bool }
 
 // ServerLeaving reports that a server itself, not the server list, has announced
 // that it leaves.
@@ -186,24 +197,25 @@
 // Tick is sent at Core.NextTick to publish the ledgers that are due.
 type Tick struct{}
 
-func (ServicesChanged) message() {}
-func (ServersChanged) message()  {}
-func (PlaceRequest) message()    {}
-func (ResponseStarted) message() {}
-func (Progress) message()        {}
-func (EstimateStream) message()  {}
-func (RequestEnded) message()    {}
-func (StreamResumed) message()   {}
-func (FindTarget) message()      {}
-func (ReleaseTarget) message()   {}
-func (FleetSize) message()       {}
-func (ServerLeaving) message()   {}
-func (ServerNotBefore) message() {}
-func (PeerLedger) message()      {}
-func (RepublishLedger) message() {}
-func (Tick) message()            {}
-func (ServerChecked) message()   {}
-func (PeerEvidence) message()    {}
+func (ServicesChanged) message()    {}
+func (ServersChanged) message()     {}
+func (PlaceRequest) message()       {}
+func (ResponseStarted) message()    {}
+func (Progress) message()           {}
+func (EstimateStream) message()     {}
+func (RequestEnded) message()       {}
+func (StreamResumed) message()      {}
+func (FindTarget) message()         {}
+func (ReleaseTarget) message()      {}
+func (FleetSize) message()          {}
+func (EvacuationsChanged) message() {}
+func (ServerLeaving) message()      {}
+func (ServerNotBefore) message()    {}
+func (PeerLedger) message()         {}
+func (RepublishLedger) message()    {}
+func (Tick) message()               {}
+func (ServerChecked) message()      {}
+func (PeerEvidence) message()       {}
 
 // Action is an output of the core.
 type Action interface{ action() }
@@ -229,7 +241,8 @@
 	ReportedAt time.Time
 }
 
-// Refused refuses a request. Cause is NoReplica, RetryBudget or PromptQuarantined.
+// Refused refuses a request. Cause is NoReplica, NoHome, Evacuated, ColdServers, RetryBudget or
+// PromptQuarantined.
 type Refused struct {
 	ID    uint64
 	Cause outcome.Cause
@@ -239,11 +252,13 @@
 	RetryAt time.Time
 }
 
-// MigrateStreams starts the migration of streams from a leaving server.
+// MigrateStreams starts the migration of streams from a server.
 type MigrateStreams struct {
 	Server backend.Server
 	// Streams is in the order in which the streams should migrate.
 	Streams []StreamToMigrate
+	// Evacuation is set when the server does not leave but its data centre is evacuated.
+	Evacuation bool
 }
 
 // StreamToMigrate is a stream on a leaving server.
--- a/internal/control/dispatch/place.go
+++ b/internal/control/dispatch/place.go
@@ -71,6 +71,7 @@
 		c.emit(c.refuseWithoutServer(now, msg))
 		return
 	}
+	c.sentTo(now, srv)
 	if msg.Retry {
 		budget.retries.add(now)
 	} else {
@@ -93,7 +94,7 @@
 // chooseServer returns the server with the least expected delay for a request, or
 // nil when the service has none.
 func (c *Core) chooseServer(now time.Time, req *request, excluded []string) *server {
-	return c.cheapestServer(now, req.Service, excluded, costEstimate{
+	return c.cheapestServer(now, req.Service, req.Homes, excluded, costEstimate{
 		lowerBound: func(s *server) time.Duration { return s.distanceCost(req.Kind) },
 		total:      func(s *server) time.Duration { return c.cost(now, s, req) },
 	})
@@ -105,13 +106,13 @@
 	lowerBound, total func(*server) time.Duration
 }
 
-// cheapestServer returns the server of a service with the least cost that is neither
-// leaving nor excluded and wants requests, or nil when there is none.
-func (c *Core) cheapestServer(now time.Time, service string, excluded []string, estimate costEstimate) *server {
+// cheapestServer returns the server of a service with the least cost that may get a request and is
+// not excluded, or nil when there is none.
+func (c *Core) cheapestServer(now time.Time, service string, homes routing.Homes, excluded []string, estimate costEstimate) *server {
 	var best *server
 	var least time.Duration
 	for _, s := range c.servers {
-		if s.Service != service || s.Leaving || now.Before(s.notBefore) || slices.Contains(excluded, s.ID) {
+		if s.Service != service || c.obstacle(now, s, homes) != none || slices.Contains(excluded, s.ID) {
 			continue
 		}
 		if best != nil && estimate.lowerBound(s) > least {
@@ -143,7 +144,7 @@
 // cost is the expected delay of a request at a server.
 func (c *Core) cost(now time.Time, srv *server, req *request) time.Duration {
 	cost := srv.distanceCost(req.Kind)
-	if now.Before(srv.ColdUntil) {
+	if srv.isCold(now) {
 		cost += coldCost
 	}
 	if now.Before(srv.avoidUntil) || srv.rampedUp(now) {
@@ -252,7 +253,7 @@
 	}
 	req.releaseTarget()
 	excluded := append(slices.Clone(msg.Excluded), req.assigned.ID)
-	best := c.cheapestServer(now, req.Service, excluded, costEstimate{
+	best := c.cheapestServer(now, req.Service, msg.Homes, excluded, costEstimate{
 		lowerBound: func(s *server) time.Duration { return c.targetDistanceCost(s, req) },
 		total:      func(s *server) time.Duration { return c.targetCost(now, s, req) },
 	})
--- a/internal/control/gather/gather.go
+++ b/internal/control/gather/gather.go
@@ -15,6 +15,7 @@
 package gather
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -75,6 +76,13 @@
 	return len(t.byName) + 1, len(t.byDataCentre[t.self.DataCentre]) + 1
 }
 
+// Names returns the names of the known VMs and of this one, sorted.
+func (t *Table) Names() []string {
+	names := append(slices.Collect(maps.Keys(t.byName)), t.self.Name)
+	slices.Sort(names)
+	return names
+}
+
 // Add adds a VM or replaces what is known of its addresses.
 func (t *Table) Add(vm wire.VM) {
 	if vm.Name == "" || vm.Name == t.self.Name {
--- a/internal/control/rendezvous/rendezvous.go
+++ b/internal/control/rendezvous/rendezvous.go
@@ -4,6 +4,7 @@
 package rendezvous
 
 import (
+	"slices"
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
@@ -68,6 +69,26 @@
 	return holders
 }
 
+// Len returns the number of VMs.
+func (s Set) Len() int { return len(s.names) }
+
+// Rank returns how many VMs have a higher score for a role than the given one. A VM that is not in
+// the set ranks behind all others.
+func (s Set) Rank(role, vm string) int {
+	at, ok := slices.BinarySearch(s.names, vm)
+	if !ok {
+		return len(s.names)
+	}
+	roleHash := xxhash.Sum64String(role)
+	own, rank := score(roleHash, s.hashes[at]), 0
+	for i, vmHash := range s.hashes {
+		if x := score(roleHash, vmHash); x > own || x == own && i < at {
+			rank++
+		}
+	}
+	return rank
+}
+
 // Holder returns the holder of a role among VMs, which must be sorted by name.
 func Holder(role string, vms []string) string { return NewSet(vms).Holder(role) }
 
--- a/internal/ingress/handover.go
+++ b/internal/ingress/handover.go
@@ -97,7 +97,7 @@
 		return false
 	}
 	sleep.Until(req.ctx, notBefore)
-	return s.mayReceive(server, time.Now())
+	return s.mayReceive(server, time.Now()) && s.isHome(req, server)
 }
 
 // resumeAt sends a broken stream to the server from which it continues.
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -92,6 +93,8 @@
 	leaving map[backend.Instance]bool
 	// notBefore holds the times until which servers want no requests.
 	notBefore map[backend.Instance]time.Time
+	// evacuated holds the data centres to whose servers nothing new may be sent.
+	evacuated map[string]bool
 	// checks holds the servers that are being checked.
 	checks map[backend.Instance]bool
 	// cancels holds the functions that cancel open requests with a prompt, by request ID.
@@ -116,11 +119,11 @@
 	core := dispatch.New(dispatch.Options{
 		VM: opts.Settings.VM.Name, DataCentre: opts.Settings.VM.DataCentre, Regions: opts.Settings.DataCentres,
 		RetryRatio: bounds.RetryRatio, RetryWindow: time.Duration(bounds.RetryWindowS * float64(time.Second)),
-		RetrySlack: bounds.RetrySlack,
+		RetrySlack: bounds.RetrySlack, BoundsCold: bounds.ColdRatio > 0, EvacuationBound: time.Duration(bounds.EvacuationMs) * time.Millisecond,
 	})
 	store := platform.New("http://"+opts.Settings.Store.Address, network.Client(opts.Network))
 	s.peers = newPeerSet(opts.Settings, store, opts.Log, func(ledger dispatch.PeerLedger) { s.loop.post(ledger) })
-	s.peers.onFleetSize = func(vms, local int) { s.loop.post(dispatch.FleetSize{VMs: vms, Local: local}) }
+	s.peers.onFleetSize = func(size dispatch.FleetSize) { s.loop.post(size) }
 	s.peers.canRead = func() bool { return s.catalog.State() != nil && !s.catalog.ServersUnavailable() }
 	s.peers.onConfirmation = func(prefix string, confirmation catalog.Confirmation) {
 		s.catalog.ReceiveConfirmation(prefix, confirmation)
@@ -128,11 +131,16 @@
 	s.peers.onChange = func(change catalog.Change) { s.catalog.ReceiveChange(change) }
 	s.peers.onEvidence = func(evidence dispatch.PeerEvidence) { s.loop.post(evidence) }
 	s.loop = newEventLoop(ctx, core, s.perform)
-	s.catalog = catalog.New(catalog.Options{
+	options := catalog.Options{
 		Store: store, Log: opts.Log, PropagationBound: time.Duration(min(bounds.ConfigMs, bounds.DrainMs)) * time.Millisecond,
-		OnState: s.applyState, OnServers: s.applyServers, BeginRead: s.beginStoreRead,
+		EvacuationBound: time.Duration(bounds.EvacuationMs) * time.Millisecond,
+		OnState:         s.applyState, OnServers: s.applyServers, BeginRead: s.beginStoreRead,
 		Publish: s.peers.sendChange, OnStoreCall: s.metrics.countStoreCall, OnServersUnavailable: func() { s.spawn(s.pollWhileUnavailable) },
-	})
+	}
+	if bounds.EvacuationMs > 0 {
+		options.OnEvacuations = s.applyEvacuations
+	}
+	s.catalog = catalog.New(options)
 	s.quarantines = newQuarantineStore(store, opts.Log, s.metrics, s.peers.leads, func(evidence poison.Evidence) {
 		s.loop.post(dispatch.PeerEvidence{Evidence: evidence, PassOn: true})
 	})
@@ -280,6 +288,9 @@
 	s.frontend.setLimits(state.Limits)
 	s.loop.post(dispatch.ServicesChanged{Services: state.Services})
 	s.metrics.configVersion.Set(float64(state.Version))
+	if unknown := state.UnknownHomes(s.opts.Settings.Regions()); len(unknown) > 0 {
+		s.log.Warn().Str("event", "homesUnknown").Int64("version", state.Version).Str("regions", strings.Join(unknown, ",")).Msg("")
+	}
 }
 
 // applyServers updates the known backend servers and closes idle connections to
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -21,6 +21,7 @@
 	callerLimits     *prometheus.CounterVec
 	quarantined      prometheus.Gauge
 	configVersion    prometheus.Gauge
+	evacuated        prometheus.Gauge
 }
 
 func newMetrics() *metrics {
@@ -54,11 +55,14 @@
 		quarantined: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "pimentohinge_quarantined_segments", Help: "Prompt segments whose requests are refused, as engines crashed on them.",
 		}),
+		evacuated: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "pimentohinge_evacuated_data_centres", Help: "Data centres to whose servers nothing new is sent.",
+		}),
 		configVersion: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "pimentohinge_config_version", Help: "Version of the configuration in force.",
 		}),
 	}
-	m.registry.MustRegister(m.requests, m.firstByteSeconds, m.resumes, m.moves, m.storeCalls, m.serverChecks, m.notices, m.callerLimits, m.quarantined, m.configVersion)
+	m.registry.MustRegister(m.requests, m.firstByteSeconds, m.resumes, m.moves, m.storeCalls, m.serverChecks, m.notices, m.callerLimits, m.quarantined, m.configVersion, m.evacuated)
 	return m
 }
 
--- a/internal/ingress/migration.go
+++ b/internal/ingress/migration.go
@@ -34,8 +34,10 @@
 // server.
 type serverDrain struct {
 	from backend.Server
-	link migration.Link
-	plan migration.Plan
+	// evacuation is set when the server does not leave but its data centre is evacuated.
+	evacuation bool
+	link       migration.Link
+	plan       migration.Plan
 	// copySlot is a semaphore that admits one first copy at a time.
 	copySlot chan struct{}
 }
@@ -43,7 +45,7 @@
 // startMigrations starts the migration of streams away from a leaving server. It is
 // called by the event loop and does not block.
 func (s *Server) startMigrations(action dispatch.MigrateStreams) {
-	drain := s.drainFor(action.Server)
+	drain := s.drainFor(action.Server, action.Evacuation)
 	if len(action.Streams) == 0 {
 		return
 	}
@@ -63,26 +65,29 @@
 	})
 }
 
-// drainFor returns the drain of a server. The first call for a server starts it.
-func (s *Server) drainFor(from backend.Server) *serverDrain {
+// drainFor returns the drain of a server. The first call for a server starts it, and the first one
+// after its evacuation if it leaves.
+func (s *Server) drainFor(from backend.Server, evacuation bool) *serverDrain {
 	key := from.Instance()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if drain, ok := s.drains[key]; ok {
+	if drain, ok := s.drains[key]; ok && (evacuation || !drain.evacuation) {
 		return drain
 	}
-	drain := &serverDrain{from: from, copySlot: make(chan struct{}, 1), plan: migration.Plan{NoticeAt: time.Now()}}
+	drain := &serverDrain{from: from, evacuation: evacuation, copySlot: make(chan struct{}, 1), plan: migration.Plan{NoticeAt: time.Now()}}
 	if state := s.catalog.State(); state != nil {
 		if engine := state.Services[from.Service].Engine; engine != nil {
 			drain.link = migration.Link{Mbps: engine.LinkMbps, TokenBytes: engine.TokenBytes}
 		}
 	}
 	s.drains[key] = drain
-	s.log.Info().Str("event", "serverLeaves").Str("server", from.ID).Str("dataCentre", from.DataCentre).Msg("")
+	s.log.Info().Str("event", "serverLeaves").Str("server", from.ID).Str("dataCentre", from.DataCentre).Bool("evacuation", evacuation).Msg("")
 	time.AfterFunc(drainRetention, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		delete(s.drains, key)
+		if s.drains[key] == drain {
+			delete(s.drains, key)
+		}
 	})
 	return drain
 }
@@ -278,7 +283,7 @@
 
 // chooseTarget gets a server with room for the stream from the dispatch core.
 func (s *Server) chooseTarget(st *stream, refused []string) (backend.Server, bool) {
-	action, ok := s.loop.call(st.req.ctx, targetKey(st.req.id), dispatch.FindTarget{ID: st.req.id, Excluded: refused})
+	action, ok := s.loop.call(st.req.ctx, targetKey(st.req.id), dispatch.FindTarget{ID: st.req.id, Excluded: refused, Homes: s.homesOf(st.req)})
 	target, _ := action.(dispatch.Target)
 	return target.Server, ok && target.Found
 }
--- a/internal/ingress/notices.go
+++ b/internal/ingress/notices.go
@@ -90,7 +90,7 @@
 	defer s.mu.Unlock()
 	listed, ok := s.servers[server.ID]
 	_, draining := s.drains[server.Instance()]
-	return !ok || !listed.SameInstance(server) || listed.Leaving || draining || s.leaving[server.Instance()]
+	return !ok || !listed.SameInstance(server) || listed.Leaving || draining || s.leaving[server.Instance()] || s.evacuated[server.DataCentre]
 }
 
 // mayReceive reports whether a stream may be sent to a server: it does not leave, or its
--- a/internal/ingress/peers.go
+++ b/internal/ingress/peers.go
@@ -66,8 +66,8 @@
 	changeBudget *rate.Limiter
 	// beats numbers messages, so that the reads of other VMs can be dated.
 	beats *heartbeat.Tracker
-	// onFleetSize is called with the number of known VMs, including this one.
-	onFleetSize func(vms, local int)
+	// onFleetSize is called with the known VMs, including this one.
+	onFleetSize func(dispatch.FleetSize)
 	// canRead reports whether this VM can read the store.
 	canRead func() bool
 
@@ -82,6 +82,8 @@
 	wasLeader    bool
 	// totalsAt is the earliest time of the next sums to other gatherers.
 	totalsAt time.Time
+	// listed is set once a list of VMs was read that was later than the start of this VM.
+	listed bool
 }
 
 type fleetKey struct {
@@ -128,6 +130,9 @@
 	if !sleep.Until(ctx, joinedAt.Add(secondListDelay)) {
 		return
 	}
+	p.mu.Lock()
+	p.listed = true
+	p.mu.Unlock()
 	p.readVMList(ctx)
 	for at := joinedAt.Add(vmListInterval); sleep.Until(ctx, at); at = at.Add(vmListInterval) {
 		p.readVMList(ctx)
@@ -204,9 +209,20 @@
 			p.vms.Add(vm)
 		}
 	}
-	vms, local := p.vms.Len()
+	size := p.fleetSize()
 	p.mu.Unlock()
-	p.onFleetSize(vms, local)
+	p.onFleetSize(size)
+}
+
+// fleetSize returns the known VMs: with their names once the list was read a second time, as VMs
+// that start together lack each other in the first. p.mu must be held.
+func (p *peerSet) fleetSize() dispatch.FleetSize {
+	var size dispatch.FleetSize
+	size.VMs, size.Local = p.vms.Len()
+	if p.listed {
+		size.Names = p.vms.Names()
+	}
+	return size
 }
 
 // ServeHTTP accepts links from other VMs once this VM has joined.
@@ -225,9 +241,9 @@
 func (p *peerSet) handleConnected(vm wire.VM) {
 	p.mu.Lock()
 	p.vms.Heard(time.Now(), vm)
-	vms, local := p.vms.Len()
+	size := p.fleetSize()
 	p.mu.Unlock()
-	p.onFleetSize(vms, local)
+	p.onFleetSize(size)
 }
 
 // handleUnreachable records that a frame could not be sent to a VM.
--- a/internal/ingress/plain.go
+++ b/internal/ingress/plain.go
@@ -101,7 +101,7 @@
 func (s *Server) place(req *request, tried []string, isRetry bool) (dispatch.Placed, outcome.Result, bool) {
 	action, ok := s.loop.call(req.ctx, req.id, dispatch.PlaceRequest{
 		ID: req.id, Service: req.service, Kind: req.route.Kind, PromptTokens: req.params.PromptTokens, ExpectedOutputTokens: req.estimatedOutput(),
-		Segments: req.segments, Excluded: tried, Retry: isRetry,
+		Segments: req.segments, Excluded: tried, Retry: isRetry, Homes: s.homesOf(req),
 	})
 	if !ok {
 		s.loop.post(dispatch.RequestEnded{ID: req.id, Verdict: dispatch.Cancelled})
--- /dev/null
+++ b/internal/ingress/regions.go
@@ -0,0 +1,55 @@
+package ingress
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/pimentohinge/pimentohinge/internal/backend"
+	"github.com/pimentohinge/pimentohinge/internal/control/dispatch"
+	"github.com/pimentohinge/pimentohinge/internal/routing"
+)
+
+// homesOf returns the regions in which a request may be served. The newest configuration decides,
+// also for a request that arrived before it.
+func (s *Server) homesOf(req *request) routing.Homes {
+	state := s.catalog.State()
+	if state == nil {
+		state = req.state
+	}
+	return state.CurrentHomes(req.route, req.workspace)
+}
+
+// isHome reports whether a request may be served by a server.
+func (s *Server) isHome(req *request, server backend.Server) bool {
+	return s.homesOf(req).Allow(s.opts.Settings.DataCentres[server.DataCentre])
+}
+
+// applyEvacuations applies a new set of evacuated data centres.
+func (s *Server) applyEvacuations(dataCentres map[string]bool) {
+	s.mu.Lock()
+	before := s.evacuated
+	s.evacuated = maps.Clone(dataCentres)
+	for instance, drain := range s.drains {
+		if drain.evacuation && !dataCentres[drain.from.DataCentre] {
+			delete(s.drains, instance)
+		}
+	}
+	s.mu.Unlock()
+	for _, name := range slices.Sorted(maps.Keys(dataCentres)) {
+		if before[name] {
+			continue
+		}
+		if _, known := s.opts.Settings.DataCentres[name]; !known {
+			s.log.Warn().Str("event", "evacuationUnknown").Str("dataCentre", name).Msg("")
+			continue
+		}
+		s.log.Info().Str("event", "evacuation").Str("dataCentre", name).Str("state", "begun").Msg("")
+	}
+	for _, name := range slices.Sorted(maps.Keys(before)) {
+		if !dataCentres[name] {
+			s.log.Info().Str("event", "evacuation").Str("dataCentre", name).Str("state", "ended").Msg("")
+		}
+	}
+	s.metrics.evacuated.Set(float64(len(dataCentres)))
+	s.loop.post(dispatch.EvacuationsChanged{DataCentres: dataCentres})
+}
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -69,6 +69,9 @@
 	BrokenResponse      Cause = "brokenAnswer"
 	VMFull              Cause = "vmFull"
 	HeadsFull           Cause = "headsFull"
+	NoHome              Cause = "noHome"
+	Evacuated           Cause = "evacuated"
+	ColdServers         Cause = "coldServers"
 	PromptQuarantined   Cause = "promptQuarantined"
 )
 
@@ -141,6 +144,9 @@
 	SlowBody:            {http.StatusRequestTimeout, "The body of the request did not arrive in time."},
 	VMFull:              {http.StatusServiceUnavailable, "The entry VM had no memory left for the body of the request."},
 	HeadsFull:           {http.StatusServiceUnavailable, "The entry VM had no memory left for the head of the request."},
+	NoHome:              {http.StatusServiceUnavailable, "No backend in the home regions of the route and the workspace could serve the request."},
+	Evacuated:           {http.StatusServiceUnavailable, "The data centres of all backends that could serve the request are evacuated."},
+	ColdServers:         {http.StatusServiceUnavailable, "The backends that could serve the request had just started and got as much as they bear."},
 	BrokenResponse:      {http.StatusBadGateway, "The backend server sent what is no answer to the request, or broke it off."},
 	PromptQuarantined:   {http.StatusServiceUnavailable, "Several engines crashed on a segment of the prompt, so requests with it are not run for now."},
 	WeightStoreRate:     {http.StatusServiceUnavailable, "The model's weights were still loading at the weight store's rate."},
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -63,6 +63,8 @@
 	Public bool
 	// Resumable is set when callers may resume streams of the route.
 	Resumable bool
+	// HomeRegions are the only regions in which requests may be served; any if it is empty.
+	HomeRegions []string
 }
 
 // Engine describes the model replicas of a service.
@@ -88,6 +90,10 @@
 	Name string
 	// Engine is nil for a service that does not run models.
 	Engine *Engine
+	// ColdTime is how long a server is cold after its start, and ColdRequestsPerSecond how many
+	// requests it bears meanwhile; 0 means that it bears any number.
+	ColdTime              time.Duration
+	ColdRequestsPerSecond float64
 }
 
 // Workspace is a tenant with its API keys.
@@ -98,6 +104,8 @@
 	Keys []string
 	// Priority, when not nil, overrides the priority of the route.
 	Priority *int
+	// HomeRegions are the only regions in which its requests may be served; any if it is empty.
+	HomeRegions []string
 }
 
 // Limits restricts the requests and connections of each caller.
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -78,6 +78,14 @@
 	RetryRatio   float64 `json:"retryRatio"`
 	RetrySlack   float64 `json:"retrySlack"`
 	RetryWindowS float64 `json:"retryWindowS"`
+	// EvacuationMs is the time within which the evacuation of a data centre must take effect, in
+	// milliseconds; 0 means that data centres are not evacuated.
+	EvacuationMs int `json:"evacuationMs"`
+	// ColdRatio, when not 0, says that servers which have just started get a bounded number of
+	// requests: all VMs together send at most ColdRatio times what the service bears, plus
+	// ColdSlack, in a second.
+	ColdRatio float64 `json:"coldRatio"`
+	ColdSlack float64 `json:"coldSlack"`
 }
 
 const (
@@ -103,11 +111,25 @@
 	if b.RetrySlack < 0 {
 		problems.add("bounds.retrySlack", "%g must not be negative", b.RetrySlack)
 	}
+	if b.EvacuationMs != 0 {
+		checkRange(problems, "bounds.evacuationMs", b.EvacuationMs, minBoundMs, maxBoundMs)
+	}
+	if b.ColdRatio != 0 && !(b.ColdRatio >= 1) {
+		problems.add("bounds.coldRatio", "%g must be 0 or at least 1", b.ColdRatio)
+	}
+	if b.ColdSlack < 0 {
+		problems.add("bounds.coldSlack", "%g must not be negative", b.ColdSlack)
+	}
 	if b.RetryWindowS <= 0 || b.RetryWindowS > maxRetryWindowS {
 		problems.add("bounds.retryWindowS", "%g must be above 0 and at most %d", b.RetryWindowS, maxRetryWindowS)
 	}
 }
 
+// Regions returns the names of the regions, sorted.
+func (g Gateway) Regions() []string {
+	return slices.Compact(slices.Sorted(maps.Values(g.DataCentres)))
+}
+
 // ParseGateway decodes and validates settings. The error is a *Problems that lists
 // every problem; file is used only in its text.
 func ParseGateway(file string, data []byte) (Gateway, error) {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -110,21 +111,49 @@
 	"limits.memoryMb": "134", "limits.maxFds": "4100", "bounds.retrySlack": "52", "bounds.retryWindowS": "10",
 }
 
-func filledTemplate(t *testing.T) string {
+// optionalValues are the values of the placeholders in sections, which only some deployments have.
+var optionalValues = map[string]string{"bounds.evacMs": "5000", "bounds.coldExcess": "1.5", "bounds.coldSlack": "5"}
+
+// section matches a section of the template for an optional value.
+var section = regexp.MustCompile(`\{\{#([a-zA-Z.]+)\}\}(.*?)\{\{/[a-zA-Z.]+\}\}`)
+
+// filledTemplate returns the template as the platform fills it, with or without optional values.
+func filledTemplate(t *testing.T, optional map[string]string) string {
 	t.Helper()
 	b, err := os.ReadFile("../../deploy/settings.json")
 	if err != nil {
 		t.Fatal(err)
 	}
-	text := string(b)
+	text := section.ReplaceAllStringFunc(string(b), func(match string) string {
+		parts := section.FindStringSubmatch(match)
+		value, ok := optional[parts[1]]
+		if !ok {
+			return ""
+		}
+		return strings.ReplaceAll(parts[2], "{{.}}", value)
+	})
 	for name, value := range templateValues {
 		text = strings.ReplaceAll(text, "{{"+name+"}}", value)
 	}
 	return text
 }
 
+func TestParseGatewayAcceptsOptionalBounds(t *testing.T) {
+	g, err := settings.ParseGateway("f", []byte(filledTemplate(t, optionalValues)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := settings.Bounds{
+		GraceS: 8, ConfigMs: 3000, DrainMs: 3000, RetryRatio: 0.2, RetrySlack: 52, RetryWindowS: 10,
+		EvacuationMs: 5000, ColdRatio: 1.5, ColdSlack: 5,
+	}
+	if diff := cmp.Diff(want, g.Bounds); diff != "" {
+		t.Errorf("bounds (-want +got):\n%s", diff)
+	}
+}
+
 func TestParseGatewayAcceptsDeployTemplate(t *testing.T) {
-	g, err := settings.ParseGateway("f", []byte(filledTemplate(t)))
+	g, err := settings.ParseGateway("f", []byte(filledTemplate(t, nil)))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -151,7 +180,7 @@
 		{`{"walsall-a":"black-country"}`, `{"Walsall A":"black-country"}`, "dataCentres"},
 		{`{"walsall-a":"black-country"}`, `[]`, "dataCentres"},
 	} {
-		text := filledTemplate(t)
+		text := filledTemplate(t, nil)
 		broken := strings.Replace(text, c.from, c.to, 1)
 		if broken == text {
 			t.Fatalf("template does not contain %s", c.from)
--- a/test/gateway/env_test.go
+++ b/test/gateway/env_test.go
@@ -47,6 +47,8 @@
 	successorStarts map[string]time.Time
 	// wrapNetwork, when not nil, replaces the network of the VMs that are started.
 	wrapNetwork func(network.Network) network.Network
+	// evacuationMs is the bound for evacuations of the VMs that are started.
+	evacuationMs int
 }
 
 // logBuffer collects the log of the VMs.
@@ -155,7 +157,7 @@
 			Store:       settings.Store{Address: storeAddr},
 			MemoryMb:    64,
 			DataCentres: regions,
-			Bounds:      settings.Bounds{GraceS: 8, ConfigMs: 3000, DrainMs: 3000, RetryRatio: 0.2, RetrySlack: 50, RetryWindowS: 10},
+			Bounds:      settings.Bounds{GraceS: 8, ConfigMs: 3000, DrainMs: 3000, RetryRatio: 0.2, RetrySlack: 50, RetryWindowS: 10, EvacuationMs: env.evacuationMs},
 		},
 	})
 	if err := vm.Start(); err != nil {
