replica, service: a status outside 200 to 599 is no response

Cause: a status below 200 counted as an interim response whose final one is awaited, so that an unsafe request waited until its deadline after status 000; 600 to 999 reached callers as they were.

Change: a status outside 200 to 599, or an interim one with the stamp of a run or a body, is no response: 502 at once, and safe requests go to another server.

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -33,6 +33,8 @@
 	// before it.
 	maxHeaderBytes   = 64 << 10
 	maxIdlePerServer = 32
+	// maxStatus is the largest status of a response.
+	maxStatus = 599
 	// writeEndTimeout bounds the wait until a request has been written whose response
 	// is already complete.
 	writeEndTimeout = 10 * time.Millisecond
@@ -393,15 +395,24 @@
 		if err != nil {
 			return nil, eris.Wrapf(ErrMalformed, "read header: %v", err)
 		}
-		if resp.StatusCode >= 200 {
+		switch {
+		case resp.StatusCode >= http.StatusOK && resp.StatusCode <= maxStatus:
 			return resp, nil
-		}
-		if resp.StatusCode == http.StatusSwitchingProtocols {
+		case resp.StatusCode == http.StatusSwitchingProtocols:
 			return nil, eris.Wrap(ErrMalformed, "replica switches protocols")
+		case !isInterim(resp):
+			return nil, eris.Wrapf(ErrMalformed, "status %s is none of a response", resp.Status)
 		}
 	}
 }
 
+// isInterim reports whether a final response follows. One with the stamp of a run or with a body
+// is the replica's only one, whatever its status says.
+func isInterim(resp *http.Response) bool {
+	return resp.StatusCode >= http.StatusContinue && resp.StatusCode < http.StatusOK &&
+		!platform.DecodeResponseHeaders(resp).Stamped && resp.Header.Get("Content-Length") == "" && len(resp.TransferEncoding) == 0
+}
+
 // Read reads the body. It returns io.EOF only after the complete body.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -23,6 +23,8 @@
 	MaxResponseBytes = 16 << 20
 	// maxBufferedBytes limits the bodies that are being read at the same time.
 	maxBufferedBytes = 64 << 20
+	// maxStatus is the largest status of a response.
+	maxStatus = 599
 )
 
 // Timeout limits one call, including the response.
@@ -105,6 +107,9 @@
 		return Response{}, failureOutcome(connected.Load(), err)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
+		return Response{}, outcome.Result{Kind: outcome.Unknown, Cause: outcome.BrokenResponse, Detail: "status " + resp.Status}
+	}
 	memory := c.bodies.Reserve()
 	defer memory.Release()
 	length := resp.ContentLength
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -119,3 +119,18 @@
 		}
 	}
 }
+
+// TestStatusThatIsNoneIsNoResponse lets a backend send a status that does not exist.
+func TestStatusThatIsNoneIsNoResponse(t *testing.T) {
+	for _, status := range []string{"000", "099", "600", "999"} {
+		address := startBackend(t, func(c net.Conn, r *bufio.Reader) {
+			if _, err := http.ReadRequest(r); err == nil {
+				_, _ = io.WriteString(c, "HTTP/1.1 "+status+" None\r\nContent-Length: 2\r\n\r\nok")
+			}
+		})
+		resp, result := do(t, service.New(network.Client(network.TCP{})), address, "/x")
+		if result.Kind != outcome.Unknown || result.Cause != outcome.BrokenResponse || resp.Status != 0 {
+			t.Errorf("status %s: %+v, %+v", status, resp, result)
+		}
+	}
+}
--- a/internal/standin/upstream/fault.go
+++ b/internal/standin/upstream/fault.go
@@ -53,6 +53,9 @@
 	// StopsInHeader runs the request and closes the connection in the middle of the header
 	// of its response.
 	StopsInHeader
+	// SendsStatus runs the request and responds with the status line of Options.StatusLine. The
+	// connection stays open.
+	SendsStatus
 )
 
 // LongEventBytes is the number of bytes that HoldsLongEvent sends.
--- a/internal/standin/upstream/raw.go
+++ b/internal/standin/upstream/raw.go
@@ -28,6 +28,10 @@
 			header, _, _ = strings.Cut(format(attempt, body), "\r\n\r\n")
 		}
 		_, _ = io.WriteString(conn, strings.TrimRight(header, "\r\n")+"\r\n")
+	case SendsStatus:
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s\r\nX-Pimentohinge-Attempt-Id: %s\r\nX-Pimentohinge-Response-Stamp: s\r\nContent-Length: %d\r\n\r\n%s",
+			r.opts.StatusLine(attempt), attempt, len(body), body)
+		_, _ = io.Copy(io.Discard, conn)
 	case SendsMalformed:
 		_, _ = io.WriteString(conn, "\x00\x01 no answer\r\n\r\n")
 	case SendsEndlessHeader:
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -48,6 +48,9 @@
 	// with these segments; nil means never. OnCrash is called after a crash; it may be nil.
 	Crashes func(segments []string) bool
 	OnCrash func()
+	// StatusLine returns the status and the reason of the response to an attempt with the fault
+	// SendsStatus.
+	StatusLine func(attempt string) string
 	// CrashesSilently makes it crash before it has sent the header of the response.
 	CrashesSilently bool
 	// EndsWithConnection makes its streams have neither a length nor chunks.
