platform, catalog: follow a store that comes back from an older copy

Cause: versions of the store were taken to grow for ever. After a restoration a VM whose version the store had reached again missed the changes in between, took confirmations of other VMs for its own version, ignored removals, and its entry and the key of the VMs stayed lost.

Not covered: leases, claims and fencing numbers of serve, the soak.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -76,6 +76,9 @@
 	OnEvacuations func(dataCentres map[string]bool)
 	// OnStoreCall is called after each call to the store. It may be nil.
 	OnStoreCall func(prefix string, linearizable bool, status platform.Status)
+	// OnStoreRestored is called when the store has come back from an older copy, once for each
+	// prefix. It must not block. It may be nil.
+	OnStoreRestored func()
 	// OnServersUnavailable is called when the server list cannot be read any more. It must
 	// not block. It may be nil.
 	OnServersUnavailable func()
@@ -95,6 +98,9 @@
 
 // New returns an empty catalog; Run fills it.
 func New(opts Options) *Catalog {
+	if opts.OnStoreRestored == nil {
+		opts.OnStoreRestored = func() {}
+	}
 	c := &Catalog{
 		opts: opts, staleStore: opts.Store.WithStaleReads(),
 		feeds: map[string]*peerFeed{platform.ConfigPrefix: newPeerFeed(), platform.ServerPrefix: newPeerFeed()},
@@ -131,7 +137,7 @@
 	if c.opts.OnEvacuations != nil {
 		evacuations := newEvacuations()
 		others.Go(func() {
-			c.watchPrefix(ctx, prefixHandler{prefix: platform.EvacuationPrefix, mayBeginStale: true, storeLost: func() {}, storeRecovered: func() {}, apply: func(listing platform.Listing) {
+			c.watchPrefix(ctx, prefixHandler{prefix: platform.EvacuationPrefix, mayBeginStale: true, restoreDelay: removalGrace, storeLost: func() {}, storeRecovered: func() {}, apply: func(listing platform.Listing) {
 				if evacuations.apply(listing) {
 					c.opts.OnEvacuations(evacuations.dataCentres())
 				}
@@ -154,6 +160,9 @@
 	// mayBeginStale is set if the first listing may be seconds old. A linearizable read, here or
 	// by another VM, follows within linearizableInterval.
 	mayBeginStale bool
+	// restoreDelay is the time after a restoration of the store for which the last known objects
+	// hold, as others write them again.
+	restoreDelay time.Duration
 }
 
 // cursor is the progress of watching one prefix.
@@ -219,6 +228,16 @@
 			cur.version = -1
 			cur.linearizableOnlyUntil = now.Add(linearizableOnlyPeriod)
 			continue
+		case platform.Restored:
+			c.opts.Log.Warn().Str("event", "storeRestored").Str("prefix", handler.prefix).Int64("after", cur.version).Msg("")
+			c.opts.OnStoreRestored()
+			handler.storeLost()
+			cur.version, cur.storeDown = -1, true
+			cur.linearizableOnlyUntil = now.Add(linearizableOnlyPeriod)
+			if !sleep.For(ctx, handler.restoreDelay) {
+				return
+			}
+			continue
 		default:
 			if ctx.Err() != nil {
 				return
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -136,6 +136,7 @@
 		EvacuationBound: time.Duration(bounds.EvacuationMs) * time.Millisecond,
 		OnState:         s.applyState, OnServers: s.applyServers, BeginRead: s.beginStoreRead,
 		Publish: s.peers.sendChange, OnStoreCall: s.metrics.countStoreCall, OnServersUnavailable: func() { s.spawn(s.pollWhileUnavailable) },
+		OnStoreRestored: s.peers.storeRestored,
 	}
 	if bounds.EvacuationMs > 0 {
 		options.OnEvacuations = s.applyEvacuations
--- a/internal/ingress/peers.go
+++ b/internal/ingress/peers.go
@@ -43,6 +43,9 @@
 	// maxFleetKeyDelay is the longest wait before a VM creates the missing fleet key, so
 	// that few of those that start together do.
 	maxFleetKeyDelay = 200 * time.Millisecond
+	// maxEnterAgainDelay is the longest wait before a VM writes its entry again after the store was
+	// restored.
+	maxEnterAgainDelay = time.Second
 )
 
 // peerSet exchanges messages with the other entry VMs. Each VM sends a ledger of the
@@ -82,6 +85,8 @@
 	wasLeader    bool
 	// totalsAt is the earliest time of the next sums to other gatherers.
 	totalsAt time.Time
+	// restored receives a token when the store has come back from an older copy.
+	restored chan struct{}
 	// listed is set once a list of VMs was read that was later than the start of this VM.
 	listed bool
 }
@@ -97,6 +102,7 @@
 		},
 		store: store, log: logger, onLedger: onLedger,
 		beats: heartbeat.New(mathrand.Int64N(beatStartRange)), changeBudget: newChangeBudget(),
+		restored: make(chan struct{}, 1),
 	}
 	p.vms = gather.New(p.self, time.Now())
 	return p
@@ -116,6 +122,14 @@
 			return
 		}
 	}
+	for ctx.Err() == nil {
+		key = p.link(ctx, transport, key)
+	}
+}
+
+// link connects this VM to the others with a shared key and keeps the list of VMs current until ctx
+// ends or the store has another key, which it returns.
+func (p *peerSet) link(ctx context.Context, transport network.Network, key string) string {
 	links := peer.New(peer.Options{
 		Self: p.self, Incarnation: int(time.Now().UnixMilli()), SharedKey: key, Client: network.Client(transport), Scheme: "ws",
 		OnConnect: p.handleConnected, OnFrame: p.handleFrame, OnUndelivered: p.handleUnreachable,
@@ -126,19 +140,65 @@
 	defer links.Close()
 	p.readVMList(ctx)
 	p.greet(links)
-	joinedAt := time.Now()
-	if !sleep.Until(ctx, joinedAt.Add(secondListDelay)) {
-		return
-	}
-	p.mu.Lock()
-	p.listed = true
-	p.mu.Unlock()
-	p.readVMList(ctx)
-	for at := joinedAt.Add(vmListInterval); sleep.Until(ctx, at); at = at.Add(vmListInterval) {
+	for at := time.Now().Add(secondListDelay); ; at = at.Add(vmListInterval) {
+		restored := p.sleepUntilRestored(ctx, at)
+		if ctx.Err() != nil {
+			return key
+		}
+		if restored {
+			if stored := p.enterAgain(ctx, key); stored != key {
+				return stored
+			}
+		}
+		p.mu.Lock()
+		p.listed = true
+		p.mu.Unlock()
 		p.readVMList(ctx)
 	}
 }
 
+// storeRestored notes that the store has come back from an older copy, which may lack what this VM
+// wrote.
+func (p *peerSet) storeRestored() {
+	select {
+	case p.restored <- struct{}{}:
+	default:
+	}
+}
+
+// sleepUntilRestored waits until a time. It returns true at once when the store was restored.
+func (p *peerSet) sleepUntilRestored(ctx context.Context, at time.Time) bool {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-p.restored:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
+// enterAgain writes the key and the entry of this VM to the restored store, unless they are there,
+// and returns the key that the store has then.
+func (p *peerSet) enterAgain(ctx context.Context, key string) string {
+	// All VMs do this at the same time.
+	sleep.For(ctx, time.Duration(mathrand.Int64N(int64(maxEnterAgainDelay))))
+	for ctx.Err() == nil {
+		value, err := json.Marshal(fleetKey{Key: key})
+		if err != nil {
+			return key
+		}
+		p.store.Put(ctx, fleetKeyName, value, platform.Condition{Absent: true})
+		if stored, ok := p.fleetKey(ctx); ok && p.register(ctx) {
+			p.log.Info().Str("event", "enteredAgain").Bool("sameKey", stored == key).Msg("")
+			return stored
+		}
+		sleep.For(ctx, joinRetryDelay)
+	}
+	return key
+}
+
 // readVMList adds the VMs that are listed in the store. The list may be stale, as VMs tell
 // each other whom to follow.
 func (p *peerSet) readVMList(ctx context.Context) {
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -75,6 +76,7 @@
 	faults           Faults
 	counts           Counts
 	compactedVersion int64         // watches from before this version fail
+	era              int64         // number of restorations plus 1
 	changed          chan struct{} // closed and replaced at each change
 	writes           *rate.Limiter
 	reads            *rate.Limiter
@@ -83,7 +85,7 @@
 // New returns an empty store.
 func New() *Store {
 	return &Store{
-		objects: map[string][]objectVersion{},
+		objects: map[string][]objectVersion{}, era: 1,
 		changed: make(chan struct{}),
 		writes:  rate.NewLimiter(WritesPerSecond, WritesPerSecond),
 		reads:   rate.NewLimiter(ReadsPerSecond, ReadsPerSecond),
@@ -187,6 +189,7 @@
 // Handler serves the object API and, under /standin/, fault injection.
 func (s *Store) Handler() http.Handler {
 	r := chi.NewRouter()
+	r.Use(s.withEra)
 	r.Get(objectsPath+"{kind}", s.list)
 	r.Post(objectsPath+"{kind}", s.create)
 	r.Get(objectsPath+"{kind}/*", s.get)
@@ -472,7 +475,7 @@
 		}
 	}
 	sort.Slice(response.Events, func(i, j int) bool { return response.Events[i].Object.Meta.Rev < response.Events[j].Object.Meta.Rev })
-	return response, after < s.compactedVersion, s.changed
+	return response, after < s.compactedVersion || after > s.version, s.changed
 }
 
 // Compact drops the history so far: watches from earlier versions fail with status
@@ -484,3 +487,43 @@
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
+
+// Restore replaces the store by its copy as of a version: later changes are lost and their versions
+// are given out again.
+func (s *Store) Restore(version int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, versions := range s.objects {
+		s.objects[key] = slices.DeleteFunc(versions, func(v objectVersion) bool { return v.version > version })
+		if len(s.objects[key]) == 0 {
+			delete(s.objects, key)
+		}
+	}
+	s.version = version
+	s.compactedVersion = min(s.compactedVersion, version)
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// withEra names the era in each response. A watch that waits is answered in the era in which its
+// response begins.
+func (s *Store) withEra(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		next.ServeHTTP(&eraWriter{ResponseWriter: w, store: s}, r)
+	})
+}
+
+type eraWriter struct {
+	http.ResponseWriter
+	store *Store
+}
+
+// WriteHeader adds the era.
+func (w *eraWriter) WriteHeader(status int) {
+	w.store.mu.Lock()
+	era := w.store.era
+	w.store.mu.Unlock()
+	w.Header().Set("Store-Era", strconv.FormatInt(era, 10))
+	w.ResponseWriter.WriteHeader(status)
+}
