--- a/internal/ingress/filters.go
+++ b/internal/ingress/filters.go
@@ -29,6 +29,11 @@
 	// at once.
 	shortRetryDelay = 50 * time.Millisecond
 	longRetryDelay  = time.Second
+	// notReadyRetryDelay is the advised retry delay when the VM has no configuration, as it has
+	// started while the store is out. Most outages last for seconds, and a caller that comes back
+	// too early is refused again. notReadySpread is the range over which callers come back.
+	notReadyRetryDelay = 3 * time.Second
+	notReadySpread     = time.Second
 )
 
 // request is the state of one caller's request.
@@ -143,7 +148,7 @@
 // requireConfig refuses requests until a configuration has been read.
 func (s *Server) requireConfig(req *request) (outcome.Result, bool) {
 	if req.state == nil {
-		return refuse(outcome.NotReady, "", longRetryDelay)
+		return refuse(outcome.NotReady, "", notReadyRetryDelay+time.Duration(rand.Int64N(int64(notReadySpread))))
 	}
 	return proceed()
 }
