--- a/internal/ingress/peers.go
+++ b/internal/ingress/peers.go
@@ -140,7 +140,8 @@
 	defer links.Close()
 	p.readVMList(ctx)
 	p.greet(links)
-	for at := time.Now().Add(secondListDelay); ; at = at.Add(vmListInterval) {
+	nextList := time.Now().Add(vmListInterval)
+	for at := nextList.Add(secondListDelay - vmListInterval); ; at, nextList = nextList, nextList.Add(vmListInterval) {
 		restored := p.sleepUntilRestored(ctx, at)
 		if ctx.Err() != nil {
 			return key
