--- a/internal/control/dispatch/scale_test.go
+++ b/internal/control/dispatch/scale_test.go
@@ -87,3 +87,24 @@
 		core.Step(now, dispatch.PeerLedger{Source: "vm-100", Entries: entries})
 	}
 }
+
+// BenchmarkWaiting tries the requests that wait on a VM while no engine has room.
+func BenchmarkWaiting(b *testing.B) {
+	now := time.Now()
+	core, list := newLargeCore(now)
+	for _, s := range list {
+		if s.Service == "engine" {
+			core.Step(now, dispatch.PeerLedger{Source: "full-" + s.ID, Entries: map[string]dispatch.LedgerEntry{s.ID: {Requests: 9, Tokens: 30000}}})
+		}
+	}
+	for id := range uint64(20) {
+		core.Step(now, dispatch.PlaceRequest{
+			ID: id + 1, Service: "engine", Kind: routing.Streaming, PromptTokens: 3000, ExpectedOutputTokens: 700,
+			LatencyTarget: 2 * time.Second, LateAt: now.Add(2 * time.Second), AbandonAt: now.Add(time.Hour),
+		})
+	}
+	for b.Loop() {
+		now = now.Add(50 * time.Millisecond)
+		core.Step(now, dispatch.Tick{})
+	}
+}
