settings: one bound for cold servers

Cause: coldSlack was read and checked but decided nothing.

Change: coldRatio alone switches the bound on and says what it is for. A connection that is accepted as its listener closes leaves the limits for callers.

Result: go test ./internal/settings ./internal/ingress passes. No decision changes.

--- a/internal/ingress/frontend.go
+++ b/internal/ingress/frontend.go
@@ -155,6 +155,7 @@
 	case current.conns <- limited:
 	case <-current.done:
 		_ = limited.Close()
+		f.limiter.State(limited, http.StateClosed)
 	}
 }
 
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -81,11 +81,10 @@
 	// EvacuationMs is the time within which the evacuation of a data centre must take effect, in
 	// milliseconds; 0 means that data centres are not evacuated.
 	EvacuationMs int `json:"evacuationMs"`
-	// ColdRatio, when not 0, says that servers which have just started get a bounded number of
-	// requests: all VMs together send at most ColdRatio times what the service bears, plus
-	// ColdSlack, in a second.
+	// ColdRatio, when not 0, says that a server which has just started may get at most about
+	// ColdRatio times the requests that its service bears. The VMs together send it no more than
+	// it bears; the rest is for VMs that do not know each other yet.
 	ColdRatio float64 `json:"coldRatio"`
-	ColdSlack float64 `json:"coldSlack"`
 }
 
 const (
@@ -117,9 +116,6 @@
 	if b.ColdRatio != 0 && !(b.ColdRatio >= 1) {
 		problems.add("bounds.coldRatio", "%g must be 0 or at least 1", b.ColdRatio)
 	}
-	if b.ColdSlack < 0 {
-		problems.add("bounds.coldSlack", "%g must not be negative", b.ColdSlack)
-	}
 	if b.RetryWindowS <= 0 || b.RetryWindowS > maxRetryWindowS {
 		problems.add("bounds.retryWindowS", "%g must be above 0 and at most %d", b.RetryWindowS, maxRetryWindowS)
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -112,7 +112,7 @@
 }
 
 // optionalValues are the values of the placeholders in sections, which only some deployments have.
-var optionalValues = map[string]string{"bounds.evacMs": "5000", "bounds.coldExcess": "1.5", "bounds.coldSlack": "5"}
+var optionalValues = map[string]string{"bounds.evacMs": "5000", "bounds.coldExcess": "1.5"}
 
 // section matches a section of the template for an optional value.
 var section = regexp.MustCompile(`\{\{#([a-zA-Z.]+)\}\}(.*?)\{\{/[a-zA-Z.]+\}\}`)
@@ -145,7 +145,7 @@
 	}
 	want := settings.Bounds{
 		GraceS: 8, ConfigMs: 3000, DrainMs: 3000, RetryRatio: 0.2, RetrySlack: 52, RetryWindowS: 10,
-		EvacuationMs: 5000, ColdRatio: 1.5, ColdSlack: 5,
+		EvacuationMs: 5000, ColdRatio: 1.5,
 	}
 	if diff := cmp.Diff(want, g.Bounds); diff != "" {
 		t.Errorf("bounds (-want +got):\n%s", diff)
