ingress, soak: no resumption in place late in an evacuation; a set of faults for the operator

Cause: a server that leaves while its data centre is evacuated gets a new drain, so that a stopped stream could resume on it until 2.5 s after that notice, later than the bound of the evacuation.

Change: streams resume in place until 2.5 s after the earlier of the two notices.

--- a/internal/ingress/handover.go
+++ b/internal/ingress/handover.go
@@ -184,7 +184,7 @@
 func (s *Server) stopRun(st *stream, latest *kvCopy, deadline time.Time) resumePoint {
 	handover := migration.Handover{Deadline: deadline}
 	if drain, ok := s.existingDrain(latest.source); ok {
-		handover.InPlaceUntil = drain.plan.InPlaceUntil()
+		handover.InPlaceUntil = s.inPlaceUntil(drain)
 	}
 	ctx, cancel := context.WithDeadline(st.req.ctx, deadline)
 	defer cancel()
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -93,8 +93,9 @@
 	leaving map[backend.Instance]bool
 	// notBefore holds the times until which servers want no requests.
 	notBefore map[backend.Instance]time.Time
-	// evacuated holds the data centres to whose servers nothing new may be sent.
-	evacuated map[string]bool
+	// evacuated holds the data centres to whose servers nothing new may be sent, and when this VM
+	// learnt it.
+	evacuated map[string]time.Time
 	// checks holds the servers that are being checked.
 	checks map[backend.Instance]bool
 	// cancels holds the functions that cancel open requests with a prompt, by request ID.
--- a/internal/ingress/migration.go
+++ b/internal/ingress/migration.go
@@ -136,7 +136,7 @@
 	if !ok {
 		return
 	}
-	handover := migration.Handover{Deadline: st.req.deadline, InPlaceUntil: drain.plan.InPlaceUntil()}
+	handover := migration.Handover{Deadline: st.req.deadline, InPlaceUntil: s.inPlaceUntil(drain)}
 	ctx, cancel := context.WithTimeout(st.req.ctx, finalCopyTimeout)
 	defer cancel()
 	final := s.settle(ctx, st, latest, handover)
--- a/internal/ingress/notices.go
+++ b/internal/ingress/notices.go
@@ -6,6 +6,7 @@
 
 	"github.com/pimentohinge/pimentohinge/internal/backend"
 	"github.com/pimentohinge/pimentohinge/internal/control/dispatch"
+	"github.com/pimentohinge/pimentohinge/internal/control/migration"
 	"github.com/pimentohinge/pimentohinge/internal/replica"
 )
 
@@ -90,7 +91,8 @@
 	defer s.mu.Unlock()
 	listed, ok := s.servers[server.ID]
 	_, draining := s.drains[server.Instance()]
-	return !ok || !listed.SameInstance(server) || listed.Leaving || draining || s.leaving[server.Instance()] || s.evacuated[server.DataCentre]
+	_, evacuated := s.evacuated[server.DataCentre]
+	return !ok || !listed.SameInstance(server) || listed.Leaving || draining || s.leaving[server.Instance()] || evacuated
 }
 
 // mayReceive reports whether a stream may be sent to a server: it does not leave, or its
@@ -100,5 +102,19 @@
 		return true
 	}
 	drain, ok := s.existingDrain(server)
-	return ok && now.Before(drain.plan.InPlaceUntil())
+	return ok && now.Before(s.inPlaceUntil(drain))
+}
+
+// inPlaceUntil returns the time until which a stopped stream may resume on its server. A server
+// that leaves while its data centre is evacuated got its first notice with the evacuation.
+func (s *Server) inPlaceUntil(drain *serverDrain) time.Time {
+	until := drain.plan.InPlaceUntil()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if since, ok := s.evacuated[drain.from.DataCentre]; ok {
+		if bound := (migration.Plan{NoticeAt: since}).InPlaceUntil(); bound.Before(until) {
+			return bound
+		}
+	}
+	return until
 }
--- a/internal/ingress/regions.go
+++ b/internal/ingress/regions.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/pimentohinge/pimentohinge/internal/backend"
 	"github.com/pimentohinge/pimentohinge/internal/control/dispatch"
@@ -27,8 +28,15 @@
 // applyEvacuations applies a new set of evacuated data centres.
 func (s *Server) applyEvacuations(dataCentres map[string]bool) {
 	s.mu.Lock()
-	before := s.evacuated
-	s.evacuated = maps.Clone(dataCentres)
+	before, now := s.evacuated, time.Now()
+	s.evacuated = map[string]time.Time{}
+	for name := range dataCentres {
+		since, ok := before[name]
+		if !ok {
+			since = now
+		}
+		s.evacuated[name] = since
+	}
 	for instance, drain := range s.drains {
 		if drain.evacuation && !dataCentres[drain.from.DataCentre] {
 			delete(s.drains, instance)
@@ -36,7 +44,7 @@
 	}
 	s.mu.Unlock()
 	for _, name := range slices.Sorted(maps.Keys(dataCentres)) {
-		if before[name] {
+		if _, known := before[name]; known {
 			continue
 		}
 		if _, known := s.opts.Settings.DataCentres[name]; !known {
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -24,6 +24,8 @@
 	ruleRecover rule = "RECOVER"
 	ruleExit    rule = "EXIT"
 	ruleMemory  rule = "MEMORY"
+
+	ruleEvacuated rule = "EVAC"
 )
 
 // Violation is a broken promise.
@@ -69,7 +71,9 @@
 		out.Requests[string(rec.kind)+"/"+rec.outcome()]++
 		f.checkRecord(rec, runs[rec.attempt])
 		for _, run := range runs[rec.attempt] {
-			f.checkDrain(rec, run, started[serverStart{run.Replica, run.ReplicaStartedAt}])
+			s := started[serverStart{run.Replica, run.ReplicaStartedAt}]
+			f.checkDrain(rec, run, s)
+			f.checkEvacuation(rec, run, s)
 		}
 	}
 	out.countCutByEnd(runs, started)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -31,6 +31,9 @@
 	// profileNetwork has connections with delays whose bytes are held up or lost, suspended
 	// servers, slow VMs and changes of the configuration.
 	profileNetwork = "network"
+	// profileOperator has evacuations of a data centre and a store that comes back from an older
+	// copy.
+	profileOperator = "operator"
 	// profileEndless has backend servers that send responses without end.
 	profileEndless = "endless"
 )
@@ -64,6 +67,12 @@
 		{"configChanges", 2, (*fleet).configChanges},
 		{"storeFails", 1, (*fleet).storeFails},
 	},
+	profileOperator: {
+		{"evacuation", 2, (*fleet).evacuate},
+		{"storeRestored", 1, (*fleet).restoreStore},
+		{"engineLeaves", 2, (*fleet).engineLeaves},
+		{"responsesLost", 2, (*fleet).loseResponses},
+	},
 	profileStops:   {{"vmStops", 1, (*fleet).vmStopsAlone}},
 	profileEndless: {{"endless", 1, (*fleet).endlessResponses}},
 }
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -46,10 +46,12 @@
 	entries map[string]*server
 	// storeDisturbed holds when the store was disturbed.
 	storeDisturbed intervals
-	faults         map[string]int
-	records        []record
-	violations     []Violation
-	peakMemoryMb   int
+	// evacuated holds when otherDataCentre was evacuated.
+	evacuated    intervals
+	faults       map[string]int
+	records      []record
+	violations   []Violation
+	peakMemoryMb int
 	// serverFaults draws the faults of backend servers.
 	serverFaults *rand.Rand
 	nextServer   int
@@ -62,6 +64,9 @@
 	serverPort            = 8469
 	storeRoundTripMs      = 4
 	dataCentre, region    = "dc-a", "region-a"
+	// otherDataCentre has half of the backend servers in profileOperator.
+	otherDataCentre   = "dc-b"
+	evacuationBoundMs = 3000
 )
 
 // address returns an address of this run.
--- a/internal/soak/servers.go
+++ b/internal/soak/servers.go
@@ -99,7 +99,7 @@
 		return
 	}
 	s.fleet.store.Set("servers/"+s.id, object{
-		"service": s.service, "addr": s.replica.Address(), "zone": dataCentre, "version": "v1", "slots": 24,
+		"service": s.service, "addr": s.replica.Address(), "zone": s.dataCentre(), "version": "v1", "slots": 24,
 		"state": state, "coldLeftMs": 0, "seq": 1, "born": s.startedAt.UnixMilli(),
 	})
 }
@@ -186,6 +186,29 @@
 	return s.leaving
 }
 
+// dataCentre returns the data centre of the server.
+func (s *server) dataCentre() string {
+	if s.fleet.opts.Profile == profileOperator && s.number%2 == 0 {
+		return otherDataCentre
+	}
+	return dataCentre
+}
+
+// announceAgain writes the entry of a server that has not ended.
+func (s *server) announceAgain() {
+	s.mu.Lock()
+	stopped, leaving := s.stopped, s.leaving
+	s.mu.Unlock()
+	switch {
+	case stopped:
+		s.fleet.store.Delete("servers/" + s.id)
+	case leaving:
+		s.announce("draining")
+	default:
+		s.announce("ready")
+	}
+}
+
 // announceLeaving reports in the store that the server leaves.
 func (s *server) announceLeaving() {
 	s.announce("draining")
--- a/internal/soak/vm.go
+++ b/internal/soak/vm.go
@@ -68,9 +68,10 @@
 		"vm":     object{"name": v.name, "region": region, "dataCentre": dataCentre},
 		"listen": object{"callers": v.callers, "ready": v.ready, "peers": f.address(groupVM, host, peersPort)},
 		"store":  object{"address": f.address(groupStore, 1, storePort)}, "memoryMb": vmMemoryMb,
-		"dataCentres": object{dataCentre: region},
+		"dataCentres": object{dataCentre: region, otherDataCentre: region},
 		"bounds": object{
-			"graceS": gracePeriod.Seconds(), "configMs": drainBoundMs, "drainMs": drainBoundMs,
+			"evacuationMs": f.evacuationMs(),
+			"graceS":       gracePeriod.Seconds(), "configMs": drainBoundMs, "drainMs": drainBoundMs,
 			"retryRatio": 0.2, "retrySlack": 52, "retryWindowS": 10,
 		},
 	})
