dispatch: less urgent requests yield only to those with less time

Cause: every less urgent request left engines that read a prompt to the more urgent ones.

Change: a request yields if a more urgent route of its service has a shorter latency target.

--- a/internal/control/dispatch/messages.go
+++ b/internal/control/dispatch/messages.go
@@ -53,8 +53,9 @@
 	// of the caller's workspace.
 	Urgency   int
 	Workspace string
-	// Yields is set when the service has other routes whose requests are more urgent. An engine
-	// that reads a prompt already gets no such request, so that it soon has time for urgent ones.
+	// Yields is set when the service has other routes whose requests are more urgent and have less
+	// time. An engine that reads a prompt already gets no such request, so that it soon has time
+	// for the others.
 	Yields bool
 	// LatencyTarget is the desired time to the first event.
 	LatencyTarget time.Duration
--- a/internal/ingress/plain.go
+++ b/internal/ingress/plain.go
@@ -102,7 +102,7 @@
 	place := dispatch.PlaceRequest{
 		ID: req.id, Service: req.service, Kind: req.route.Kind, PromptTokens: req.params.PromptTokens, ExpectedOutputTokens: req.estimatedOutput(),
 		Segments: req.segments, Excluded: tried, Retry: isRetry, Homes: s.homesOf(req),
-		Urgency: req.route.UrgencyFor(req.workspace), Yields: req.state.HasMoreUrgentRoutes(req.service, req.route),
+		Urgency: req.route.UrgencyFor(req.workspace), Yields: req.state.Yields(req.service, req.route),
 		LatencyTarget: req.route.LatencyTarget,
 	}
 	if req.workspace != nil {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -135,23 +135,26 @@
 
 	workspacesByKey map[string]*Workspace
 	routesByHost    map[string][]Route
-	// priorities are, by service, the most and the least urgent priority of its routes.
-	priorities map[string]priorityRange
+	// urgencies are, by service, those of its routes.
+	urgencies map[string][]routeUrgency
 }
 
-type priorityRange struct{ top, bottom int }
+// routeUrgency is what the routes of a service compete by.
+type routeUrgency struct {
+	priority int
+	target   time.Duration
+}
 
 // Index sorts the routes and builds the lookup tables. It returns s for chaining.
 func (s *State) Index() *State {
 	sort.SliceStable(s.Routes, func(i, j int) bool { return len(s.Routes[i].Prefix) > len(s.Routes[j].Prefix) })
-	s.routesByHost, s.priorities = map[string][]Route{}, map[string]priorityRange{}
+	s.routesByHost, s.urgencies = map[string][]Route{}, map[string][]routeUrgency{}
 	for _, r := range s.Routes {
 		for _, share := range r.Shares {
-			known, ok := s.priorities[share.Service]
-			if !ok {
-				known = priorityRange{top: r.Priority, bottom: r.Priority}
+			urgency := routeUrgency{priority: r.Priority, target: r.LatencyTarget}
+			if !slices.Contains(s.urgencies[share.Service], urgency) {
+				s.urgencies[share.Service] = append(s.urgencies[share.Service], urgency)
 			}
-			s.priorities[share.Service] = priorityRange{top: min(known.top, r.Priority), bottom: max(known.bottom, r.Priority)}
 		}
 		host := strings.ToLower(r.Host)
 		s.routesByHost[host] = append(s.routesByHost[host], r)
@@ -238,14 +241,12 @@
 // Competes reports whether a service has routes of different priorities, whose requests compete
 // for its servers.
 func (s *State) Competes(service string) bool {
-	known := s.priorities[service]
-	return known.top < known.bottom
+	return slices.ContainsFunc(s.urgencies[service], func(u routeUrgency) bool { return u.priority != s.urgencies[service][0].priority })
 }
 
-// HasMoreUrgentRoutes reports whether a service has routes that are more urgent than r.
-func (s *State) HasMoreUrgentRoutes(service string, r Route) bool {
-	known, ok := s.priorities[service]
-	return ok && known.top < r.Priority
+// Yields reports whether a service has routes that are more urgent than r and leave less time.
+func (s *State) Yields(service string, r Route) bool {
+	return slices.ContainsFunc(s.urgencies[service], func(u routeUrgency) bool { return u.priority < r.Priority && u.target < r.LatencyTarget })
 }
 
 // HasKey reports whether an API key belongs to the workspace.
