dispatch: a quarantine refuses requests that wait

Cause: a prompt was checked for quarantined segments when its request arrived. One that waited for an engine was placed after its segment had been quarantined.

Change: the check is repeated while a request waits.

Result: TestQuarantineEndsWaiting, which failed before.

--- a/internal/control/dispatch/poison.go
+++ b/internal/control/dispatch/poison.go
@@ -35,12 +35,17 @@
 
 func newPoisonState(vm string) poisonState { return poisonState{tracker: poison.New(vm)} }
 
-// checkQuarantine returns the refusal of a request whose prompt holds a quarantined
-// segment.
+// checkQuarantine counts the prompt of a request that arrives and returns its refusal if the
+// prompt holds a quarantined segment.
 func (c *Core) checkQuarantine(now time.Time, msg PlaceRequest) (Refused, bool) {
 	if !msg.Retry {
 		c.poison.tracker.RequestArrived(now, msg.Segments)
 	}
+	return c.quarantineRefusal(now, msg)
+}
+
+// quarantineRefusal returns the refusal of a request whose prompt holds a quarantined segment.
+func (c *Core) quarantineRefusal(now time.Time, msg PlaceRequest) (Refused, bool) {
 	q, quarantined := c.poison.tracker.Check(now, msg.Segments)
 	if !quarantined {
 		return Refused{}, false
--- a/internal/control/dispatch/waiting.go
+++ b/internal/control/dispatch/waiting.go
@@ -100,7 +100,7 @@
 }
 
 // placeWaiting tries to place waiting requests, if it is time, and refuses those that cannot start
-// before their callers give up.
+// before their callers give up or whose prompts were quarantined meanwhile.
 func (c *Core) placeWaiting(now time.Time) {
 	for _, service := range slices.Sorted(maps.Keys(c.waiting)) {
 		w := c.waiting[service]
@@ -108,6 +108,11 @@
 			continue
 		}
 		for _, req := range slices.Clone(w.list.All()) {
+			if refused, ok := c.quarantineRefusal(now, req.PlaceRequest); ok {
+				c.dropWaiting(req.ID)
+				c.emit(refused)
+				continue
+			}
 			if !now.Before(req.AbandonAt.Add(-minStartTime)) {
 				c.dropWaiting(req.ID)
 				c.emit(Refused{
--- a/internal/control/dispatch/waiting_test.go
+++ b/internal/control/dispatch/waiting_test.go
@@ -272,3 +272,20 @@
 		t.Error("requests wait for engines that have left")
 	}
 }
+
+// TestQuarantineEndsWaiting lets a request wait while engines crash on a segment of its prompt.
+func TestQuarantineEndsWaiting(t *testing.T) {
+	core := newCrashCore()
+	waits := promptRequest(100, "c0", "bad")
+	waits.AbandonAt = start.Add(time.Hour)
+	core.Step(start, waits)
+	for i := range uint64(3) {
+		crashUnder(t, core, start.Add(time.Duration(i)*time.Second), i+1, "c0", "bad")
+	}
+	for _, action := range core.Step(start.Add(4*time.Second), dispatch.Tick{}) {
+		if refused, ok := action.(dispatch.Refused); ok && refused.ID == 100 && refused.Cause == outcome.PromptQuarantined {
+			return
+		}
+	}
+	t.Error("a request with a quarantined segment still waits")
+}
