dispatch: the test of quarantines that end waiting quarantines its segment

Change: the three crashes are on different servers, and the test checks that the segment is quarantined.

--- a/internal/control/dispatch/waiting_test.go
+++ b/internal/control/dispatch/waiting_test.go
@@ -279,8 +279,21 @@
 	waits := promptRequest(100, "c0", "bad")
 	waits.AbandonAt = start.Add(time.Hour)
 	core.Step(start, waits)
+	var crashed []string
 	for i := range uint64(3) {
-		crashUnder(t, core, start.Add(time.Duration(i)*time.Second), i+1, "c0", "bad")
+		now := start.Add(time.Duration(i) * time.Second)
+		request := promptRequest(i+1, "c0", "bad")
+		request.Excluded = crashed
+		for _, action := range core.Step(now, request) {
+			if placed, ok := action.(dispatch.Placed); ok {
+				crashed = append(crashed, placed.Server.ID)
+				core.Step(now, dispatch.RequestEnded{ID: i + 1, Verdict: dispatch.Failed, ClosedByServer: true})
+				core.Step(now, dispatch.ServerChecked{Server: placed.Server})
+			}
+		}
+	}
+	if got := refusal(core, start.Add(3*time.Second), 50, "c0", "bad"); got != outcome.PromptQuarantined {
+		t.Fatalf("the segment is not quarantined after %d crashes: %q", len(crashed), got)
 	}
 	for _, action := range core.Step(start.Add(4*time.Second), dispatch.Tick{}) {
 		if refused, ok := action.(dispatch.Refused); ok && refused.ID == 100 && refused.Cause == outcome.PromptQuarantined {
