ingress: one function offers a key of the VMs and reads it back

Cause: after a restoration of the store a VM wrote its key and then read the key with a stale read, which may still return the copy of before, while the restored store has another VM's key. The write and the read back stood twice.

Change: offerKey writes a key unless there is one and reads it back linearizably, for a new key and for one that is written again.

Found by reading.

--- a/internal/ingress/peers.go
+++ b/internal/ingress/peers.go
@@ -186,12 +186,7 @@
 	// All VMs do this at the same time.
 	sleep.For(ctx, time.Duration(mathrand.Int64N(int64(maxEnterAgainDelay))))
 	for ctx.Err() == nil {
-		value, err := json.Marshal(fleetKey{Key: key})
-		if err != nil {
-			return key
-		}
-		p.store.Put(ctx, fleetKeyName, value, platform.Condition{Absent: true})
-		if stored, ok := p.fleetKey(ctx); ok && p.register(ctx) {
+		if stored, ok := p.offerKey(ctx, key); ok && p.register(ctx) {
 			p.log.Info().Str("event", "enteredAgain").Bool("sameKey", stored == key).Msg("")
 			return stored
 		}
@@ -226,20 +221,28 @@
 	if status == platform.NotFound && sleep.For(ctx, time.Duration(mathrand.Int64N(int64(maxFleetKeyDelay)))) {
 		object, status = stale.Get(ctx, fleetKeyName)
 	}
-	if status == platform.NotFound {
-		raw := make([]byte, fleetKeyBytes)
-		if _, err := rand.Read(raw); err != nil {
-			return "", false
-		}
-		value, err := json.Marshal(fleetKey{Key: hex.EncodeToString(raw)})
-		if err != nil {
-			return "", false
-		}
-		p.store.Put(ctx, fleetKeyName, value, platform.Condition{Absent: true})
-		// Read it back: another VM may have created it first, or the response to the
-		// write was lost.
-		object, status = p.store.Get(ctx, fleetKeyName)
+	if status != platform.NotFound {
+		return decodeFleetKey(object, status)
 	}
+	raw := make([]byte, fleetKeyBytes)
+	if _, err := rand.Read(raw); err != nil {
+		return "", false
+	}
+	return p.offerKey(ctx, hex.EncodeToString(raw))
+}
+
+// offerKey writes a key unless the store has one, and returns the key that the store has then.
+func (p *peerSet) offerKey(ctx context.Context, key string) (string, bool) {
+	value, err := json.Marshal(fleetKey{Key: key})
+	if err != nil {
+		return "", false
+	}
+	p.store.Put(ctx, fleetKeyName, value, platform.Condition{Absent: true})
+	// Read it back: another VM may have created it first, or the response to the write was lost.
+	return decodeFleetKey(p.store.Get(ctx, fleetKeyName))
+}
+
+func decodeFleetKey(object platform.Object, status platform.Status) (string, bool) {
 	var key fleetKey
 	if status != platform.OK || json.Unmarshal(object.Value, &key) != nil || key.Key == "" {
 		return "", false
