--- a/internal/control/dispatch/obstacle.go
+++ b/internal/control/dispatch/obstacle.go
@@ -9,8 +9,8 @@
 )
 
 // Load pattern of this file: a large part of the servers may get nothing, as their data centre is
-// evacuated, they are cold or in a region in which a request may not be served. What the others
-// cannot take is told to come back, spread over time.
+// evacuated, they are cold or in a region in which a request may not be served. Requests that the
+// others cannot take are refused, with retry delays that differ.
 
 const (
 	// noServerRetryDelay is the advised retry delay when a service has no server.
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -93,8 +93,8 @@
 	leaving map[backend.Instance]bool
 	// notBefore holds the times until which servers want no requests.
 	notBefore map[backend.Instance]time.Time
-	// evacuated holds the data centres to whose servers nothing new may be sent, and when this VM
-	// learnt it.
+	// evacuated holds the data centres to whose servers nothing new may be sent, with the time at
+	// which this VM read that.
 	evacuated map[string]time.Time
 	// checks holds the servers that are being checked.
 	checks map[backend.Instance]bool
@@ -117,10 +117,11 @@
 		drains: map[backend.Instance]*serverDrain{}, checks: map[backend.Instance]bool{}, leaving: map[backend.Instance]bool{}, notBefore: map[backend.Instance]time.Time{}, cancels: map[uint64]context.CancelCauseFunc{},
 		successLog: rate.NewLimiter(successLinesPerSecond, 2*successLinesPerSecond),
 	}
+	evacuationBound := time.Duration(bounds.EvacuationMs) * time.Millisecond
 	core := dispatch.New(dispatch.Options{
 		VM: opts.Settings.VM.Name, DataCentre: opts.Settings.VM.DataCentre, Regions: opts.Settings.DataCentres,
 		RetryRatio: bounds.RetryRatio, RetryWindow: time.Duration(bounds.RetryWindowS * float64(time.Second)),
-		RetrySlack: bounds.RetrySlack, BoundsCold: bounds.ColdRatio > 0, EvacuationBound: time.Duration(bounds.EvacuationMs) * time.Millisecond,
+		RetrySlack: bounds.RetrySlack, BoundsCold: bounds.ColdRatio > 0, EvacuationBound: evacuationBound,
 	})
 	store := platform.New("http://"+opts.Settings.Store.Address, network.Client(opts.Network))
 	s.peers = newPeerSet(opts.Settings, store, opts.Log, func(ledger dispatch.PeerLedger) { s.loop.post(ledger) })
@@ -134,7 +135,7 @@
 	s.loop = newEventLoop(ctx, core, s.perform)
 	options := catalog.Options{
 		Store: store, Log: opts.Log, PropagationBound: time.Duration(min(bounds.ConfigMs, bounds.DrainMs)) * time.Millisecond,
-		EvacuationBound: time.Duration(bounds.EvacuationMs) * time.Millisecond,
+		EvacuationBound: evacuationBound,
 		OnState:         s.applyState, OnServers: s.applyServers, BeginRead: s.beginStoreRead,
 		Publish: s.peers.sendChange, OnStoreCall: s.metrics.countStoreCall, OnServersUnavailable: func() { s.spawn(s.pollWhileUnavailable) },
 		OnStoreRestored: s.peers.storeRestored,
--- a/internal/ingress/regions.go
+++ b/internal/ingress/regions.go
@@ -14,8 +14,8 @@
 // also for a request that arrived before it.
 func (s *Server) homesOf(req *request) routing.Homes {
 	state := s.catalog.State()
-	if state == nil {
-		state = req.state
+	if state == nil || state == req.state {
+		return routing.HomesOf(req.route, req.workspace)
 	}
 	return state.CurrentHomes(req.route, req.workspace)
 }
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/pimentohinge/pimentohinge/internal/standin/store"
@@ -74,10 +75,13 @@
 	if s == nil || s.dataCentre() != otherDataCentre {
 		return
 	}
+	f.mu.Lock()
+	evacuated, disturbed := slices.Clone(f.evacuated), slices.Clone(f.storeDisturbed)
+	f.mu.Unlock()
 	bound := evacuationBoundMs * time.Millisecond
-	for _, interval := range f.evacuated {
+	for _, interval := range evacuated {
 		from, to := interval[0].Add(bound), interval[1]
-		if run.Started.Before(from) || !to.IsZero() && run.Started.After(to) || f.storeDisturbed.touches(interval[0], run.Started) {
+		if run.Started.Before(from) || !to.IsZero() && run.Started.After(to) || disturbed.touches(interval[0], run.Started) {
 			continue
 		}
 		f.violate(Violation{ruleEvacuated, rec.attempt, fmt.Sprintf("began on %s %v after the evacuation", s.id, run.Started.Sub(interval[0]))})
--- a/test/headflood/headflood_test.go
+++ b/test/headflood/headflood_test.go
@@ -34,8 +34,7 @@
 	headBytes = 15_000
 	// crowdRounds is the number of requests that a caller of the crowd sends in turn.
 	crowdRounds = 4
-	// ordinaryAttempts bounds how often the ordinary caller asks, as other callers do that were
-	// told to come back.
+	// ordinaryAttempts bounds how often the ordinary caller retries.
 	ordinaryAttempts = 20
 	ordinaryPause    = 500 * time.Millisecond
 
