--- a/review/lab2/replica.go
+++ b/review/lab2/replica.go
@@ -38,6 +38,18 @@
 	whole   bool
 }
 
+// text describes an arrival.
+func (a arrival) text(l *lab) string {
+	end := "still works on it"
+	if !a.endedAt.IsZero() {
+		end = fmt.Sprintf("worked on it until %.3f", a.endedAt.Sub(l.began).Seconds())
+	}
+	if a.refused != 0 {
+		end = fmt.Sprintf("rejected it with %d", a.refused)
+	}
+	return fmt.Sprintf("%s reached %s at %.3f, which %s; whole answer: %v", a.attempt, a.replica, a.at.Sub(l.began).Seconds(), end, a.whole)
+}
+
 // fleet is the set of all replicas and what has reached them.
 type fleet struct {
 	lab *lab
@@ -141,13 +153,16 @@
 	r.fleet.lab.store.set("servers/"+r.id, entry)
 }
 
-// drain reports that the replica is draining. It returns when the store has accepted that.
-func (r *replica) drain() {
+// drain reports that the replica is draining. It returns the time at which the store has accepted
+// that.
+func (r *replica) drain() time.Time {
 	r.mu.Lock()
 	r.state = "draining"
 	r.mu.Unlock()
 	r.publish()
+	at := time.Now()
 	r.fleet.lab.note("the store has accepted that %s is draining", r.id)
+	return at
 }
 
 func (r *replica) used() int {
