--- a/review/lab2/lab.go
+++ b/review/lab2/lab.go
@@ -33,6 +33,7 @@
 var scenarios = map[string]func(*lab) (held bool, err error){
 	"withdrawn":  withdrawn,
 	"latenotice": lateNotice,
+	"cutwatch":   cutWatch,
 }
 
 func main() {
--- a/review/lab2/store.go
+++ b/review/lab2/store.go
@@ -23,6 +23,10 @@
 	revision int64
 	history  map[string][]storedVersion // by kind and name
 	changed  chan struct{}
+	// cut is closed and replaced when the watches that wait are cut off.
+	cut chan struct{}
+	// waiting is the number of watches of replicas' entries that wait.
+	waiting int
 }
 
 // storedVersion is an object after one change.
@@ -38,7 +42,7 @@
 	if err != nil {
 		return err
 	}
-	s := &store{address: ln.Addr().String(), staleBy: staleBy, revision: 1, history: map[string][]storedVersion{}, changed: make(chan struct{})}
+	s := &store{address: ln.Addr().String(), staleBy: staleBy, revision: 1, history: map[string][]storedVersion{}, changed: make(chan struct{}), cut: make(chan struct{})}
 	s.server = &http.Server{Handler: s, ReadHeaderTimeout: time.Minute}
 	go func() { _ = s.server.Serve(ln) }()
 	l.store = s
@@ -57,6 +61,54 @@
 	s.add(key, storedVersion{spec: text})
 }
 
+// remove removes an object. It returns the time at which the store has done so.
+func (s *store) remove(key string) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.add(key, storedVersion{deleted: true})
+	return time.Now()
+}
+
+// cutWatches closes the channels of the watches of replicas' entries that wait, as soon as there is
+// one.
+func (s *store) cutWatches() {
+	for {
+		s.mu.Lock()
+		if s.waiting > 0 {
+			close(s.cut)
+			s.cut = make(chan struct{})
+			s.mu.Unlock()
+			return
+		}
+		s.mu.Unlock()
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// await waits for one of the channels or for a time. It reports false if the watch was cut off.
+func (s *store) await(kind string, changed, cut, gone <-chan struct{}, wait time.Duration) bool {
+	if kind != "servers" {
+		cut = nil
+	} else {
+		s.addWaiting(1)
+		defer s.addWaiting(-1)
+	}
+	select {
+	case <-changed:
+	case <-time.After(wait):
+	case <-gone:
+	case <-cut:
+		return false
+	}
+	return true
+}
+
+func (s *store) addWaiting(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting += n
+}
+
 // add applies a change. s.mu must be held.
 func (s *store) add(key string, v storedVersion) int64 {
 	s.revision++
@@ -167,22 +219,28 @@
 	after, _ := strconv.ParseInt(r.URL.Query().Get("watch"), 10, 64)
 	waitMs, _ := strconv.ParseInt(r.URL.Query().Get("waitMs"), 10, 64)
 	until := time.Now().Add(time.Duration(min(waitMs, 30_000)) * time.Millisecond)
+	if waitMs > 0 {
+		// The head of the answer goes first, so that a cut leaves an answer without its body.
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(w).Flush()
+	}
 	for {
 		s.mu.Lock()
-		events, revision, changed := s.events(kind, after, age), s.revisionAt(age), s.changed
+		events, revision, changed, cut := s.events(kind, after, age), s.revisionAt(age), s.changed, s.cut
 		s.mu.Unlock()
 		if len(events) > 0 || !time.Now().Before(until) {
-			reply(w, http.StatusOK, map[string]any{"events": events, "storeRevision": max(revision, after)})
+			_ = json.NewEncoder(w).Encode(map[string]any{"events": events, "storeRevision": max(revision, after)})
 			return
 		}
 		wait := time.Until(until)
 		if age > 0 {
 			wait = min(wait, 20*time.Millisecond)
 		}
-		select {
-		case <-changed:
-		case <-time.After(wait):
-		case <-r.Context().Done():
+		if !s.await(kind, changed, cut, r.Context().Done(), wait) {
+			panic(http.ErrAbortHandler)
+		}
+		if r.Context().Err() != nil {
 			return
 		}
 	}
