--- a/review/lab2/lab.go
+++ b/review/lab2/lab.go
@@ -34,6 +34,7 @@
 	"withdrawn":  withdrawn,
 	"latenotice": lateNotice,
 	"cutwatch":   cutWatch,
+	"homes":      homes,
 }
 
 func main() {
@@ -182,10 +183,10 @@
 		log: filepath.Join(l.folder, name+".log"),
 	}
 	settings := map[string]any{
-		"vm":     map[string]string{"name": name, "region": "malopolska", "dataCentre": zone},
+		"vm":     map[string]string{"name": name, "region": regions[zone], "dataCentre": zone},
 		"listen": map[string]string{"callers": g.callers, "ready": g.ready, "peers": addresses[2]},
 		"store":  map[string]string{"address": l.store.address}, "memoryMb": 284, "maxDescriptors": 4100,
-		"dataCentres": map[string]string{zone: "malopolska"}, "bounds": bounds,
+		"dataCentres": regions, "bounds": bounds,
 	}
 	text, err := json.Marshal(settings)
 	if err != nil {
--- a/review/lab2/replica.go
+++ b/review/lab2/replica.go
@@ -12,7 +12,14 @@
 	"time"
 )
 
-const zone = "krakow-a"
+// All machines are in zone; replicas may be in otherZone too.
+const (
+	zone      = "krakow-a"
+	otherZone = "warszawa-a"
+)
+
+// regions maps the zones to their regions.
+var regions = map[string]string{zone: "malopolska", otherZone: "mazowsze"}
 
 // The engines' figures are those of the small deployments' sheet.
 const (
@@ -93,6 +100,7 @@
 // replica is a sound replica of a model or of a plain service.
 type replica struct {
 	id, service, address string
+	zone                 string
 	fleet                *fleet
 	server               *http.Server
 	engine               bool
@@ -120,14 +128,18 @@
 
 func (r *run) end() { r.stopOnce.Do(func() { close(r.stop) }) }
 
-// start starts a replica and writes its entry.
+// start starts a replica in the machines' zone and writes its entry.
 func (f *fleet) start(id, service string, engine bool, capacity int) (*replica, error) {
+	return f.startIn(zone, id, service, engine, capacity)
+}
+
+func (f *fleet) startIn(zone, id, service string, engine bool, capacity int) (*replica, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	r := &replica{
-		id: id, service: service, address: ln.Addr().String(), fleet: f, engine: engine, capacity: capacity, born: time.Now(),
+		id: id, service: service, address: ln.Addr().String(), zone: zone, fleet: f, engine: engine, capacity: capacity, born: time.Now(),
 		runs: map[string]*run{}, copies: map[string]int{}, state: "ready", slots: make(chan struct{}, 6),
 	}
 	r.server = &http.Server{Handler: r, ReadHeaderTimeout: time.Minute}
@@ -137,7 +149,7 @@
 	f.mu.Unlock()
 	f.lab.onClose(func() { _ = r.server.Close() })
 	r.publish()
-	f.lab.note("replica %s of %s started at %s", id, service, r.address)
+	f.lab.note("replica %s of %s in %s started at %s", id, service, zone, r.address)
 	return r, nil
 }
 
@@ -146,7 +158,7 @@
 	r.mu.Lock()
 	r.lastSeq++
 	entry := map[string]any{
-		"service": r.service, "addr": r.address, "zone": zone, "version": "v1", "slots": engineSlots, "state": r.state,
+		"service": r.service, "addr": r.address, "zone": r.zone, "version": "v1", "slots": engineSlots, "state": r.state,
 		"coldLeftMs": 0, "seq": r.lastSeq, "born": r.born.UnixMilli(),
 	}
 	r.mu.Unlock()
