--- a/review/lab2/lab.go
+++ b/review/lab2/lab.go
@@ -35,6 +35,7 @@
 	"latenotice": lateNotice,
 	"cutwatch":   cutWatch,
 	"homes":      homes,
+	"limits":     limits,
 }
 
 func main() {
