--- a/review/lab2/cutwatch.go
+++ b/review/lab2/cutwatch.go
@@ -33,7 +33,7 @@
 			return false, err
 		}
 	}
-	if err := l.waitReady(10 * time.Second); err != nil {
+	if err := l.waitReady(); err != nil {
 		return false, err
 	}
 	time.Sleep(7 * time.Second)
--- a/review/lab2/homes.go
+++ b/review/lab2/homes.go
@@ -20,7 +20,7 @@
 	if err != nil {
 		return false, err
 	}
-	if err := l.waitReady(10 * time.Second); err != nil {
+	if err := l.waitReady(); err != nil {
 		return false, err
 	}
 	time.Sleep(2 * time.Second)
--- a/review/lab2/lab.go
+++ b/review/lab2/lab.go
@@ -35,7 +35,7 @@
 	"latenotice": lateNotice,
 	"cutwatch":   cutWatch,
 	"homes":      homes,
-	"limits":     limits,
+	"lostanswer": lostAnswer,
 }
 
 func main() {
@@ -101,9 +101,6 @@
 	return l, nil
 }
 
-// at is the time since the beginning.
-func (l *lab) at() time.Duration { return time.Since(l.began) }
-
 // note writes a line of the record.
 func (l *lab) note(format string, args ...any) {
 	l.mu.Lock()
@@ -271,9 +268,12 @@
 // maxWords is the number of lines of lastWords.
 const maxWords = 8
 
+// startLimit is how long the machines may take to be ready.
+const startLimit = 10 * time.Second
+
 // waitReady waits until the machines say that they are ready.
-func (l *lab) waitReady(limit time.Duration) error {
-	until := time.Now().Add(limit)
+func (l *lab) waitReady() error {
+	until := time.Now().Add(startLimit)
 	for _, g := range l.gateways {
 		for !isReady(g.ready) {
 			if time.Now().After(until) {
--- a/review/lab2/latenotice.go
+++ b/review/lab2/latenotice.go
@@ -49,7 +49,7 @@
 			return false, err
 		}
 	}
-	if err := l.waitReady(10 * time.Second); err != nil {
+	if err := l.waitReady(); err != nil {
 		return false, err
 	}
 	// Until then no machine reads the store for the others.
--- a/review/lab2/replica.go
+++ b/review/lab2/replica.go
@@ -107,12 +107,17 @@
 	capacity             int
 	born                 time.Time
 
-	mu       sync.Mutex
-	runs     map[string]*run
-	copies   map[string]int // tokens by reference
-	lastSeq  int
-	state    string
-	handles  int
+	mu      sync.Mutex
+	runs    map[string]*run
+	copies  map[string]int // tokens by reference
+	lastSeq int
+	state   string
+	handles int
+	// slowCopies is how long a copy waits behind others on the links.
+	slowCopies time.Duration
+	// idle holds the channels that carry no request, and listener takes new ones.
+	idle     map[net.Conn]bool
+	listener net.Listener
 	slots    chan struct{}
 	prefills sync.Mutex
 }
@@ -124,6 +129,9 @@
 	handle         string
 	stop           chan struct{}
 	stopOnce       sync.Once
+	// lost is closed when the channel of the stream is lost, and copying set while a call copies it.
+	lost    chan struct{}
+	copying bool
 }
 
 func (r *run) end() { r.stopOnce.Do(func() { close(r.stop) }) }
@@ -141,8 +149,9 @@
 	r := &replica{
 		id: id, service: service, address: ln.Addr().String(), zone: zone, fleet: f, engine: engine, capacity: capacity, born: time.Now(),
 		runs: map[string]*run{}, copies: map[string]int{}, state: "ready", slots: make(chan struct{}, 6),
+		idle: map[net.Conn]bool{}, listener: ln,
 	}
-	r.server = &http.Server{Handler: r, ReadHeaderTimeout: time.Minute}
+	r.server = &http.Server{Handler: r, ReadHeaderTimeout: time.Minute, ConnState: r.noteConn}
 	go func() { _ = r.server.Serve(ln) }()
 	f.mu.Lock()
 	f.byAddr[r.address] = r
@@ -177,6 +186,28 @@
 	return at
 }
 
+// noteConn keeps the set of idle channels.
+func (r *replica) noteConn(conn net.Conn, state http.ConnState) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if state == http.StateNew || state == http.StateIdle {
+		r.idle[conn] = true
+		return
+	}
+	delete(r.idle, conn)
+}
+
+// stopListening begins the end of a replica: it closes its listener and its idle channels, and
+// finishes its runs.
+func (r *replica) stopListening() {
+	_ = r.listener.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for conn := range r.idle {
+		_ = conn.Close()
+	}
+}
+
 func (r *replica) used() int {
 	sum := 0
 	for _, run := range r.runs {
@@ -254,7 +285,7 @@
 	if r.used()+tokens > r.capacity || len(r.runs) >= engineSlots {
 		return nil, false
 	}
-	started := &run{attempt: attempt, tokens: tokens, stop: make(chan struct{})}
+	started := &run{attempt: attempt, tokens: tokens, stop: make(chan struct{}), lost: make(chan struct{})}
 	r.runs[attempt] = started
 	return started, true
 }
@@ -291,6 +322,7 @@
 	w.Header().Set("X-Pimentohinge-Response-Stamp", r.id+"."+attempt)
 	w.Header().Set("Content-Type", "text/event-stream")
 	flusher := http.NewResponseController(w)
+	gone, lost, write := req.Context().Done(), current.lost, true
 	for event := last + 1; event <= output/tokensPerEvent; event++ {
 		r.mu.Lock()
 		step := stepMs + stepMsPerRequest*float64(len(r.runs))
@@ -299,16 +331,26 @@
 		case <-time.After(time.Duration(step * tokensPerEvent * float64(time.Millisecond))):
 		case <-current.stop:
 			panic(http.ErrAbortHandler)
-		case <-req.Context().Done():
+		case <-gone:
 			panic(http.ErrAbortHandler)
+		case <-lost:
+			conn, _, err := flusher.Hijack()
+			if err != nil {
+				panic("lab2: hijack: " + err.Error())
+			}
+			_ = conn.Close()
+			gone, lost, write = nil, nil, false
 		}
 		r.mu.Lock()
 		current.events, current.tokens = event, current.tokens+tokensPerEvent
 		r.mu.Unlock()
+		if !write {
+			continue
+		}
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s/%d\n\n", event, attempt, event)
 		_ = flusher.Flush()
 	}
-	whole = true
+	whole = write
 }
 
 // move copies the memory of a run to another replica; with last the run stops first.
@@ -329,6 +371,20 @@
 		reply(w, http.StatusNotFound, map[string]any{})
 		return
 	}
+	if moved.copying {
+		r.mu.Unlock()
+		reply(w, http.StatusConflict, map[string]any{})
+		return
+	}
+	slow := r.slowCopies
+	if slow > 0 && !call.Last {
+		moved.copying = true
+		time.AfterFunc(slow, func() {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			moved.copying = false
+		})
+	}
 	first := moved.handle == ""
 	if first {
 		r.handles++
@@ -355,6 +411,9 @@
 	if first {
 		time.Sleep(time.Duration(tokens/copyTokensPerMs) * time.Millisecond)
 	}
+	if !call.Last {
+		time.Sleep(slow)
+	}
 	r.fleet.lab.note("%s has copied %s, last: %v", r.id, call.ID, call.Last)
 	reply(w, http.StatusOK, map[string]any{"handle": handle, "created": events})
 }
--- a/review/lab2/withdrawn.go
+++ b/review/lab2/withdrawn.go
@@ -53,7 +53,7 @@
 			return false, err
 		}
 	}
-	if err := l.waitReady(10 * time.Second); err != nil {
+	if err := l.waitReady(); err != nil {
 		return false, err
 	}
 	time.Sleep(3 * time.Second)
