--- a/review/lab2/cutwatch.go
+++ b/review/lab2/cutwatch.go
@@ -49,9 +49,10 @@
 	if l.trouble {
 		go func() {
 			for range cuts {
+				began := time.Now()
 				l.store.cutWatches()
 				l.note("the store has cut off the watches of the entries that wait")
-				time.Sleep(cutInterval)
+				time.Sleep(time.Until(began.Add(cutInterval)))
 			}
 		}()
 	}
--- a/review/lab2/store.go
+++ b/review/lab2/store.go
@@ -69,22 +69,23 @@
 	return time.Now()
 }
 
-// cutWatches closes the channels of the watches of replicas' entries that wait, as soon as there is
-// one.
+// cutWatches closes the channels of the watches of replicas' entries that wait, or begin to wait
+// within cutTime.
 func (s *store) cutWatches() {
-	for {
+	for until := time.Now().Add(cutTime); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
 		s.mu.Lock()
 		if s.waiting > 0 {
 			close(s.cut)
 			s.cut = make(chan struct{})
-			s.mu.Unlock()
-			return
 		}
 		s.mu.Unlock()
-		time.Sleep(5 * time.Millisecond)
 	}
 }
 
+// cutTime is how long the store takes to cut off the watches: a machine asks again after 0.1 s at
+// least.
+const cutTime = 150 * time.Millisecond
+
 // await waits for one of the channels or for a time. It reports false if the watch was cut off.
 func (s *store) await(kind string, changed, cut, gone <-chan struct{}, wait time.Duration) bool {
 	if kind != "servers" {
