--- a/review/lab2/lab.go
+++ b/review/lab2/lab.go
@@ -16,6 +16,7 @@
 	"net"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -53,6 +54,14 @@
 		return exitFailed
 	}
 	defer l.close()
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stopped
+		l.note("could not run: stopped by a signal")
+		l.close()
+		os.Exit(exitFailed)
+	}()
 	held, err := scenario(l)
 	switch {
 	case err != nil:
@@ -78,6 +87,7 @@
 	record   *os.File
 	gateways []*gateway
 	closers  []func()
+	closed   sync.Once
 }
 
 func newLab() (*lab, error) {
@@ -112,18 +122,20 @@
 
 func (l *lab) onClose(f func()) { l.closers = append(l.closers, f) }
 
-// close ends all processes and stand-ins.
+// close ends all processes and stand-ins, once.
 func (l *lab) close() {
-	for _, g := range l.gateways {
-		g.kill()
-	}
-	for _, f := range l.closers {
-		f()
-	}
-	_ = l.record.Close()
-	if os.Getenv("LAB_KEEP") == "" {
-		_ = os.RemoveAll(l.folder)
-	}
+	l.closed.Do(func() {
+		for _, g := range l.gateways {
+			g.kill()
+		}
+		for _, f := range l.closers {
+			f()
+		}
+		_ = l.record.Close()
+		if os.Getenv("LAB_KEEP") == "" {
+			_ = os.RemoveAll(l.folder)
+		}
+	})
 }
 
 // listen opens a listener at a free loopback port.
