--- a/review/lab2/cutwatch.go
+++ b/review/lab2/cutwatch.go
@@ -1,6 +1,9 @@
 package main
 
-import "time"
+import (
+	"errors"
+	"time"
+)
 
 const (
 	// servesOn is how long a replica serves after its entry was removed.
@@ -9,7 +12,7 @@
 	cutInterval = 1800 * time.Millisecond
 	cuts        = 2
 	// orderInterval is the time between two orders.
-	orderInterval = 12 * time.Millisecond
+	orderInterval = 24 * time.Millisecond
 )
 
 // cutWatch takes a replica away that never reports that it is draining, while the store twice cuts
@@ -19,13 +22,13 @@
 		return false, err
 	}
 	replicas := newFleet(l)
-	var leaving *replica
-	for _, id := range []string{"i-d1", "i-d2", "i-d3"} {
+	byID := map[string]*replica{}
+	for _, id := range []string{"i-d1", "i-d2", "i-d3", "i-d4"} {
 		r, err := replicas.start(id, "desk", false, 0)
 		if err != nil {
 			return false, err
 		}
-		leaving = r
+		byID[id] = r
 	}
 	l.store.set("config/main", desiredState(1, "writer"))
 	for _, name := range []string{"front-1", "front-2"} {
@@ -36,7 +39,6 @@
 	if err := l.waitReady(); err != nil {
 		return false, err
 	}
-	time.Sleep(7 * time.Second)
 	c := &clients{lab: l}
 	stop := make(chan struct{})
 	done := make(chan struct{})
@@ -45,6 +47,10 @@
 		c.sendOrders(l.gateways, stop)
 	}()
 	time.Sleep(2 * time.Second)
+	leaving := byID[replicas.busiest()]
+	if leaving == nil {
+		return false, errors.New("no replica got an order")
+	}
 	removeAt := time.Now().Add(100 * time.Millisecond)
 	if l.trouble {
 		go func() {
@@ -101,3 +107,16 @@
 	l.note("%d requests reached %s later than %d ms after the store had removed its entry; %d of them were not answered with success", late, id, drainMs, lost)
 	return late == 0
 }
+
+// busiest returns the replica that most requests have reached.
+func (f *fleet) busiest() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	count, busiest := map[string]int{}, ""
+	for _, a := range f.arrivals {
+		if count[a.replica]++; busiest == "" || count[a.replica] > count[busiest] {
+			busiest = a.replica
+		}
+	}
+	return busiest
+}
--- a/review/lab2/lab.go
+++ b/review/lab2/lab.go
@@ -295,5 +295,7 @@
 		}
 	}
 	l.note("all machines are ready")
+	// Traffic starts 10 s after the machines do.
+	time.Sleep(10 * time.Second)
 	return nil
 }
--- a/review/lab2/lostanswer.go
+++ b/review/lab2/lostanswer.go
@@ -1,18 +1,24 @@
 package main
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 const (
+	// machines is the number of machines on the sheet; each has one stream on the leaving engine.
+	machines = 7
 	// earlierRequests run before, so that one lost answer is less than 0.025 of all.
 	earlierRequests = 48
-	// slowCopy is how long the last copy before the hand-over waits behind others on the links.
-	slowCopy = 1800 * time.Millisecond
+	// noteInterval7 and reportInterval7 are the sheet's 4.85 and 3.47 requests a second.
+	noteInterval7   = time.Second * 100 / 485
+	reportInterval7 = time.Second * 100 / 347
 	// endsAfter is when the leaving engine closes its listener: a little later than drainMs.
 	endsAfter = drainMs*time.Millisecond + 100*time.Millisecond
 )
 
-// lostAnswer takes an engine away. A little later than drainMs it takes no new channels, closes its
-// idle ones and finishes its runs. The answer of one run is lost at that moment.
+// lostAnswer takes one of four engines away. A little later than drainMs it takes no new channels,
+// closes its idle ones and finishes its runs. The answer of one run is lost at that moment.
 func lostAnswer(l *lab) (bool, error) {
 	if err := l.startStore(0); err != nil {
 		return false, err
@@ -23,62 +29,89 @@
 		return false, err
 	}
 	l.store.set("config/main", desiredState(1, "writer"))
-	g, err := l.startGateway("front-1")
-	if err != nil {
-		return false, err
+	for i := range machines {
+		if _, err := l.startGateway(fmt.Sprintf("front-%d", i+1)); err != nil {
+			return false, err
+		}
 	}
 	if err := l.waitReady(); err != nil {
 		return false, err
 	}
-	time.Sleep(5 * time.Second)
 	c := &clients{lab: l}
-	for range earlierRequests {
-		c.send(g, request{method: "POST", path: "/note/1", timeout: 6 * time.Second, promptTokens: 300, limit: 8})
-		time.Sleep(60 * time.Millisecond)
+	for i := range earlierRequests {
+		c.send(l.gateways[i%machines], request{method: "POST", path: "/note/1", timeout: 6 * time.Second, promptTokens: 2200, limit: 8})
+		time.Sleep(noteInterval7)
 	}
-	time.Sleep(time.Second)
-	watched := c.send(g, request{method: "POST", path: "/report/1", timeout: 39 * time.Second, promptTokens: 3000, limit: 1400})
-	time.Sleep(time.Second)
-	second, err := replicas.start("i-second", "writer", true, engineCapacity)
-	if err != nil {
-		return false, err
+	for _, g := range l.gateways {
+		c.send(g, request{method: "POST", path: "/report/1", timeout: 39 * time.Second, promptTokens: 4000, limit: 1400})
+		time.Sleep(reportInterval7)
+	}
+	for _, id := range []string{"i-second", "i-third", "i-fourth"} {
+		if _, err := replicas.startIn(nearZone, id, "writer", true, engineCapacity); err != nil {
+			return false, err
+		}
 	}
 	time.Sleep(time.Second)
 	drains := first.drain()
-	time.Sleep(time.Until(drains.Add(2100 * time.Millisecond)))
-	first.mu.Lock()
-	first.slowCopies = slowCopy
-	first.mu.Unlock()
+	time.Sleep(time.Until(drains.Add(time.Second)))
+	// The stream that was copied first gets the next copy behind those of the other machines.
+	watched := first.firstCopied()
 	time.Sleep(time.Until(drains.Add(endsAfter)))
 	first.stopListening()
 	l.note("%s takes no new channels and closes its idle ones", first.id)
-	if l.trouble {
-		first.mu.Lock()
-		if current := first.runs[c.get(watched).id]; current != nil {
-			close(current.lost)
-			l.note("%s loses the answer to %s", first.id, current.attempt)
-		}
-		first.mu.Unlock()
+	if l.trouble && first.loseAnswer(watched) {
+		l.note("%s loses the answer to %s", first.id, watched)
 	}
 	time.Sleep(9 * time.Second)
 	c.noteAll()
-	return judgeTwice(l, replicas, first.id, second.id, c.get(watched).id), nil
+	held := true
+	for _, r := range c.snapshot() {
+		held = judgeTwice(l, replicas, first.id, r.id) && held
+	}
+	return held, nil
+}
+
+// firstCopied returns the run whose copy was complete first.
+func (r *replica) firstCopied() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var first *run
+	for _, other := range r.runs {
+		if !other.copiedAt.IsZero() && (first == nil || other.copiedAt.Before(first.copiedAt)) {
+			first = other
+		}
+	}
+	if first == nil {
+		return ""
+	}
+	return first.attempt
+}
+
+// loseAnswer closes the channel of a run, which goes on.
+func (r *replica) loseAnswer(attempt string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	current := r.runs[attempt]
+	if current != nil {
+		close(current.lost)
+	}
+	return current != nil
 }
 
 // judgeTwice applies TWICE: a request must not go on at another replica while the replica before
 // still works on it 400 ms later.
-func judgeTwice(l *lab, replicas *fleet, before, after, id string) bool {
+func judgeTwice(l *lab, replicas *fleet, before, id string) bool {
 	var first, second arrival
 	for _, a := range replicas.of(id) {
 		l.note("%s", a.text(l))
 		switch {
 		case a.replica == before:
 			first = a
-		case a.replica == after && a.refused == 0:
+		case a.resumed && a.refused == 0 && second.attempt == "":
 			second = a
 		}
 	}
-	if second.attempt == "" {
+	if second.attempt == "" || first.attempt == "" {
 		return true
 	}
 	end := first.endedAt
@@ -86,7 +119,7 @@
 		end = time.Now()
 	}
 	if both := end.Sub(second.at); both > 400*time.Millisecond {
-		l.note("%s still worked on %s %d ms after it had gone on at %s", before, id, both.Milliseconds(), after)
+		l.note("%s still worked on %s %d ms after it had gone on at %s", before, id, both.Milliseconds(), second.replica)
 		return false
 	}
 	return true
--- a/review/lab2/replica.go
+++ b/review/lab2/replica.go
@@ -12,19 +12,22 @@
 	"time"
 )
 
-// All machines are in zone; replicas may be in otherZone too.
+// All machines are in zone; replicas may be in the others too.
 const (
 	zone      = "krakow-a"
+	nearZone  = "krakow-b"
 	otherZone = "warszawa-a"
 )
 
 // regions maps the zones to their regions.
-var regions = map[string]string{zone: "malopolska", otherZone: "mazowsze"}
+var regions = map[string]string{zone: "malopolska", nearZone: "malopolska", otherZone: "mazowsze"}
 
 // The engines' figures are those of the small deployments' sheet.
 const (
-	engineSlots      = 24
-	engineCapacity   = 34292
+	engineSlots    = 24
+	engineCapacity = 34292
+	// crowdedCapacity is the memory of the engines of zhetisu-sched-grown.
+	crowdedCapacity  = 26896
 	tokensPerEvent   = 4
 	prefillPerMs     = 14
 	stepMs           = 7.0
@@ -113,8 +116,8 @@
 	lastSeq int
 	state   string
 	handles int
-	// slowCopies is how long a copy waits behind others on the links.
-	slowCopies time.Duration
+	// link carries one copy after the other.
+	link chan struct{}
 	// idle holds the channels that carry no request, and listener takes new ones.
 	idle     map[net.Conn]bool
 	listener net.Listener
@@ -132,6 +135,10 @@
 	// lost is closed when the channel of the stream is lost, and copying set while a call copies it.
 	lost    chan struct{}
 	copying bool
+	// copied is the number of tokens that were copied to target.
+	copied   int
+	target   string
+	copiedAt time.Time
 }
 
 func (r *run) end() { r.stopOnce.Do(func() { close(r.stop) }) }
@@ -149,7 +156,7 @@
 	r := &replica{
 		id: id, service: service, address: ln.Addr().String(), zone: zone, fleet: f, engine: engine, capacity: capacity, born: time.Now(),
 		runs: map[string]*run{}, copies: map[string]int{}, state: "ready", slots: make(chan struct{}, 6),
-		idle: map[net.Conn]bool{}, listener: ln,
+		idle: map[net.Conn]bool{}, listener: ln, link: make(chan struct{}, 1),
 	}
 	r.server = &http.Server{Handler: r, ReadHeaderTimeout: time.Minute, ConnState: r.noteConn}
 	go func() { _ = r.server.Serve(ln) }()
@@ -376,27 +383,19 @@
 		reply(w, http.StatusConflict, map[string]any{})
 		return
 	}
-	slow := r.slowCopies
-	if slow > 0 && !call.Last {
-		moved.copying = true
-		time.AfterFunc(slow, func() {
-			r.mu.Lock()
-			defer r.mu.Unlock()
-			moved.copying = false
-		})
-	}
-	first := moved.handle == ""
-	if first {
+	moved.copying = true
+	if moved.handle == "" {
 		r.handles++
 		moved.handle = strconv.Itoa(r.handles)
 	}
 	if call.Last {
 		moved.end()
 	}
-	tokens, events, handle := moved.tokens, moved.events, moved.handle
+	handle := moved.handle
 	r.mu.Unlock()
 	ref := r.address + "/" + handle
-	if !r.fleet.take(call.Target, ref, tokens) {
+	tokens, events, room := r.copy(moved, call.Target, ref)
+	if !room {
 		answer := map[string]any{}
 		if call.Last {
 			r.mu.Lock()
@@ -408,30 +407,58 @@
 		reply(w, http.StatusServiceUnavailable, answer)
 		return
 	}
-	if first {
-		time.Sleep(time.Duration(tokens/copyTokensPerMs) * time.Millisecond)
-	}
-	if !call.Last {
-		time.Sleep(slow)
-	}
 	r.fleet.lab.note("%s has copied %s, last: %v", r.id, call.ID, call.Last)
 	reply(w, http.StatusOK, map[string]any{"handle": handle, "created": events})
 }
 
-// take keeps a copy at a replica if it has room.
-func (f *fleet) take(address, ref string, tokens int) bool {
-	f.mu.Lock()
-	to := f.byAddr[address]
-	f.mu.Unlock()
-	if to == nil {
-		return false
+// copy brings the copy of a run at another replica up to date: behind the other copies on the link,
+// and for twice as long if the replica is in another zone.
+func (r *replica) copy(moved *run, address, ref string) (tokens, events int, room bool) {
+	defer func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		moved.copying = false
+	}()
+	r.fleet.mu.Lock()
+	to := r.fleet.byAddr[address]
+	r.fleet.mu.Unlock()
+	state := func() (int, int, int) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return moved.tokens, moved.events, moved.copied
+	}
+	tokens, events, _ = state()
+	if to == nil || !to.take(ref, tokens) {
+		return tokens, events, false
+	}
+	r.link <- struct{}{}
+	tokens, events, copied := state()
+	if moved.target != address {
+		copied = 0
+	}
+	took := time.Duration((tokens-copied)/copyTokensPerMs) * time.Millisecond
+	if to.zone != r.zone {
+		took *= 2
+	}
+	time.Sleep(took)
+	<-r.link
+	r.mu.Lock()
+	moved.copied, moved.target = tokens, address
+	if moved.copiedAt.IsZero() {
+		moved.copiedAt = time.Now()
 	}
-	to.mu.Lock()
-	defer to.mu.Unlock()
-	if to.used()-to.copies[ref]+tokens > to.capacity {
+	r.mu.Unlock()
+	return tokens, events, to.take(ref, tokens)
+}
+
+// take keeps a copy if there is room.
+func (r *replica) take(ref string, tokens int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.used()-r.copies[ref]+tokens > r.capacity {
 		return false
 	}
-	to.copies[ref] = tokens
+	r.copies[ref] = tokens
 	return true
 }
 
--- a/review/lab2/withdrawn.go
+++ b/review/lab2/withdrawn.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"sync"
 	"time"
 )
@@ -32,22 +33,55 @@
 	}
 }
 
-// withdrawn moves the routes of a crowded model service to another one while requests wait for an
-// engine. The new desired state does not list the old service any more.
+// crowdedState is desiredState with the routes and engines of zhetisu-sched-grown: short urgent
+// streams beside long ones that yield to them.
+func crowdedState(version int, models string) map[string]any {
+	state := desiredState(version, models)
+	report, note := state["routes"].([]any)[0].(map[string]any), state["routes"].([]any)[1].(map[string]any)
+	report["priority"], report["goalMs"] = 2, 4000.0
+	note["priority"] = 0
+	engine := state["services"].([]any)[0].(map[string]any)["engine"].(map[string]any)
+	engine["kvCapacity"], engine["kvTokenBytes"], engine["linkMbps"] = crowdedCapacity, 18432, 2700.0
+	return state
+}
+
+// The load for each engine is that of zhetisu-sched-grown: 19.8 term-draft and 38.5 clash-check a
+// second for 48 engines. Its scale days have bursts of term-draft, 2.5 times as many for 6.5 s.
+const (
+	oldEngines     = 4
+	reportInterval = time.Second * 48 * 10 / 198 / oldEngines
+	noteInterval   = time.Second * 48 * 10 / 385 / oldEngines
+	orderInterval6 = 50 * time.Millisecond
+	burstFactor    = 2.5
+	burstTime      = 6500 * time.Millisecond
+	beforeBurst    = 4 * time.Second
+)
+
+// withdrawn moves the routes of a crowded model service to another one, in a burst in which one of its
+// four engines leaves. The new desired state does not list the old service any more.
 func withdrawn(l *lab) (bool, error) {
 	if err := l.startStore(0); err != nil {
 		return false, err
 	}
 	replicas := newFleet(l)
-	for _, r := range []struct {
-		id, service string
-		engine      bool
-	}{{"i-a1", "writer-old", true}, {"i-a2", "writer-old", true}, {"i-b1", "writer-new", true}, {"i-b2", "writer-new", true}, {"i-d1", "desk", false}, {"i-d2", "desk", false}} {
-		if _, err := replicas.start(r.id, r.service, r.engine, engineCapacity); err != nil {
+	var leaving *replica
+	for i := range oldEngines {
+		for _, service := range []string{"writer-old", "writer-new"} {
+			r, err := replicas.start(fmt.Sprintf("i-%s%d", service, i+1), service, true, crowdedCapacity)
+			if err != nil {
+				return false, err
+			}
+			if service == "writer-old" {
+				leaving = r
+			}
+		}
+	}
+	for _, id := range []string{"i-d1", "i-d2"} {
+		if _, err := replicas.start(id, "desk", false, 0); err != nil {
 			return false, err
 		}
 	}
-	l.store.set("config/main", desiredState(1, "writer-old"))
+	l.store.set("config/main", crowdedState(1, "writer-old"))
 	for _, name := range []string{"front-1", "front-2"} {
 		if _, err := l.startGateway(name); err != nil {
 			return false, err
@@ -56,7 +90,6 @@
 	if err := l.waitReady(); err != nil {
 		return false, err
 	}
-	time.Sleep(3 * time.Second)
 	c := &clients{lab: l}
 	stop := make(chan struct{})
 	var load sync.WaitGroup
@@ -65,10 +98,14 @@
 		defer load.Done()
 		c.sendMixed(l.gateways, stop)
 	}()
-	time.Sleep(9 * time.Second)
+	time.Sleep(beforeBurst)
+	drains := leaving.drain()
+	time.Sleep(time.Until(drains.Add(lingerTime)))
+	leaving.exit()
+	time.Sleep(time.Until(drains.Add(burstTime - 500*time.Millisecond)))
 	changeAt := time.Now()
 	if l.trouble {
-		l.store.set("config/main", desiredState(2, "writer-new"))
+		l.store.set("config/main", crowdedState(2, "writer-new"))
 		l.note("the store has accepted version 2: the routes go to writer-new, writer-old is not listed")
 	}
 	time.Sleep(5 * time.Second)
@@ -78,21 +115,33 @@
 	return judgeWithdrawn(l, c, replicas, changeAt), nil
 }
 
-// sendMixed sends five reports and twenty orders a second to the machines in turn.
+// sendMixed sends streams and orders to the machines in turn.
 func (c *clients) sendMixed(gateways []*gateway, stop chan struct{}) {
-	ticker := time.NewTicker(50 * time.Millisecond)
-	defer ticker.Stop()
+	began := time.Now()
+	report, note, order := began, began, began
 	for i := 0; ; i++ {
 		select {
 		case <-stop:
 			return
-		case <-ticker.C:
+		case <-time.After(2 * time.Millisecond):
 		}
+		now := time.Now()
 		g := gateways[i%len(gateways)]
-		c.send(g, request{method: "POST", path: "/order/1", timeout: 2500 * time.Millisecond})
-		if i%4 == 0 {
-			g = gateways[i/4%len(gateways)]
-			c.send(g, request{method: "POST", path: "/report/1", timeout: 39 * time.Second, promptTokens: 3000, limit: 930})
+		if !now.Before(report) {
+			c.send(g, request{method: "POST", path: "/report/1", timeout: 39 * time.Second, promptTokens: 3000, limit: 752})
+			interval := reportInterval
+			if since := now.Sub(began); since >= beforeBurst && since < beforeBurst+burstTime {
+				interval = time.Duration(float64(interval) / burstFactor)
+			}
+			report = report.Add(interval)
+		}
+		if !now.Before(note) {
+			c.send(g, request{method: "POST", path: "/note/1", timeout: 6 * time.Second, promptTokens: 2200, limit: 12})
+			note = note.Add(noteInterval)
+		}
+		if !now.Before(order) {
+			c.send(g, request{method: "POST", path: "/order/1", timeout: 2500 * time.Millisecond})
+			order = order.Add(orderInterval6)
 		}
 	}
 }
@@ -128,7 +177,6 @@
 			held = false
 		}
 		if g.endedByItself() {
-			held = false
 			l.note("the last words of %s:\n    %s", g.name, g.lastWords())
 		}
 	}
