--- a/review/lab2/lab.go
+++ b/review/lab2/lab.go
@@ -89,6 +89,8 @@
 	gateways []*gateway
 	closers  []func()
 	closed   sync.Once
+	// given holds the addresses that processes listen on, or will.
+	given map[string]bool
 }
 
 func newLab() (*lab, error) {
@@ -107,7 +109,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &lab{began: time.Now(), trouble: os.Getenv("TROUBLE") != "0", program: program, folder: folder, record: record}
+	l := &lab{began: time.Now(), trouble: os.Getenv("TROUBLE") != "0", program: program, folder: folder, record: record, given: map[string]bool{}}
 	l.note("trouble: %v", l.trouble)
 	return l, nil
 }
@@ -146,14 +148,20 @@
 // listen opens a listener at a free loopback port.
 func listen() (net.Listener, error) { return net.Listen("tcp", loopback+":0") }
 
-// freeAddress returns a loopback address at which nothing listens.
-func freeAddress() (string, error) {
-	ln, err := listen()
-	if err != nil {
-		return "", err
+// freeAddress returns a loopback address at which nothing listens, each only once.
+func (l *lab) freeAddress() (string, error) {
+	for {
+		ln, err := listen()
+		if err != nil {
+			return "", err
+		}
+		address := ln.Addr().String()
+		_ = ln.Close()
+		if !l.given[address] {
+			l.given[address] = true
+			return address, nil
+		}
 	}
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String(), nil
 }
 
 // bounds are the figures of the small deployments' sheet.
@@ -187,7 +195,7 @@
 func (l *lab) startGateway(name string) (*gateway, error) {
 	var addresses [3]string
 	for i := range addresses {
-		address, err := freeAddress()
+		address, err := l.freeAddress()
 		if err != nil {
 			return nil, err
 		}
