ingress: limits for the listeners of readiness, peers and metrics

What callers saw: a crowd at one of the listeners that are not for callers ended the process, and all callers of the VM lost their requests.

Cause: only the listener for callers had limits on connections and on what heads take together. The others accepted any number, and a head of 15 kB made of short lines takes some 300 kB.

Change: each listener has a limiter of its own, so that a crowd at one does not close the connections of another. Package machine divides memory and descriptors between them. They close idle connections after a minute.

--- /dev/null
+++ b/internal/headlimit/server.go
@@ -0,0 +1,57 @@
+package headlimit
+
+import (
+	"context"
+	"net"
+	"net/http"
+)
+
+// Serve serves HTTP on the connections of a listener until the listener fails or the server is
+// closed. It sets the hooks of the server and wraps its handler.
+func (l *Limiter) Serve(server *http.Server, ln net.Listener) error {
+	l.Attach(server)
+	return server.Serve(&listener{Listener: ln, limiter: l})
+}
+
+// Attach sets the hooks of a server that serves connections of the limiter and wraps its handler.
+func (l *Limiter) Attach(server *http.Server) {
+	server.ConnState, server.ConnContext = l.State, withConn
+	server.Handler = abortEvicted(server.Handler)
+}
+
+// listener limits the connections of a net.Listener.
+type listener struct {
+	net.Listener
+	limiter *Limiter
+}
+
+// Accept returns the next connection that is not refused.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if limited := l.limiter.Wrap(conn); limited != nil {
+			return limited, nil
+		}
+		_ = conn.Close()
+	}
+}
+
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+func withConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// abortEvicted ends a request whose connection was closed just as its head became complete.
+func abortEvicted(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if conn, ok := r.Context().Value(connKey{}).(*Conn); ok && conn.Evicted() {
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
--- a/internal/ingress/frontend.go
+++ b/internal/ingress/frontend.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
-	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -13,10 +11,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/pimentohinge/pimentohinge/internal/headlimit"
-	"github.com/pimentohinge/pimentohinge/internal/outcome"
-	"github.com/pimentohinge/pimentohinge/internal/problem"
 	"github.com/pimentohinge/pimentohinge/internal/routing"
-	"github.com/pimentohinge/pimentohinge/internal/settings"
 	"github.com/pimentohinge/pimentohinge/internal/sleep"
 )
 
@@ -68,7 +63,7 @@
 )
 
 func newFrontend(handler http.Handler, spawn func(func()), logger *log.Logger, limiter *headlimit.Limiter) *frontend {
-	f := &frontend{handler: abortEvicted(handler), spawn: spawn, log: logger, limiter: limiter}
+	f := &frontend{handler: handler, spawn: spawn, log: logger, limiter: limiter}
 	f.startServer(routing.Limits{})
 	return f
 }
@@ -97,8 +92,8 @@
 		// net/http would respond to "OPTIONS *" with 200, but only a replica may report
 		// success.
 		DisableGeneralOptionsHandler: true,
-		ConnState:                    f.limiter.State, ConnContext: withConn,
 	}
+	f.limiter.Attach(server)
 	if limits.HeaderBytes > 0 {
 		server.MaxHeaderBytes = limits.HeaderBytes
 	}
@@ -159,80 +154,6 @@
 	}
 }
 
-// connKey is the key of a request's connection in its context.
-type connKey struct{}
-
-func withConn(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, conn)
-}
-
-// abortEvicted ends a request whose connection was closed just as its head became complete.
-func abortEvicted(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if conn, ok := r.Context().Value(connKey{}).(*headlimit.Conn); ok && conn.Evicted() {
-			panic(http.ErrAbortHandler)
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
-const (
-	// headMemoryDivisor limits the heads of requests to one eighth of the VM's memory.
-	headMemoryDivisor = 8
-	// connBytes is the memory of one connection without its requests; connMemoryDivisor limits all
-	// connections of callers to one fourth of the VM's memory.
-	connBytes         = 32 << 10
-	connMemoryDivisor = 4
-	// fileDescriptors are the descriptors that are not available for connections. Callers get half
-	// of the others: a request in progress takes a second one.
-	fileDescriptors     = 200
-	callersShareOfConns = 2
-	minCallerConns      = 8
-)
-
-// newHeadLimiter returns the limiter for the callers of a VM.
-func newHeadLimiter(config settings.Gateway) *headlimit.Limiter {
-	memory := int64(config.MemoryMb) << 20
-	conns := int(memory / connMemoryDivisor / connBytes)
-	if config.MaxDescriptors > 0 {
-		conns = min(conns, max(minCallerConns, (config.MaxDescriptors-fileDescriptors)/callersShareOfConns))
-	}
-	return headlimit.New(headlimit.Options{
-		MaxConns: conns, MemoryBytes: memory / headMemoryDivisor, Refusal: headRefusal(),
-	})
-}
-
-// headRefusal returns the response to a head for which there is no memory.
-func headRefusal() []byte {
-	result := outcome.Refuse(outcome.HeadsFull, "")
-	body, err := json.Marshal(problem.New("", result))
-	if err != nil {
-		body = nil
-	}
-	return fmt.Appendf(nil, "HTTP/1.1 503 Service Unavailable\r\nContent-Type: %s\r\nRetry-After: %g\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s",
-		problem.ContentType, longRetryDelay.Seconds(), len(body), body)
-}
-
-// reportLimits logs and counts what the limiter has refused or closed since the last report, and
-// returns the counts so far.
-func (s *Server) reportLimits(last headlimit.Counts) headlimit.Counts {
-	counts := s.frontend.limiter.Counts()
-	if counts == last {
-		return last
-	}
-	since := map[string]int64{
-		"headRefused": counts.RefusedHeads - last.RefusedHeads, "headClosed": counts.EvictedHeads - last.EvictedHeads,
-		"idleClosed": counts.IdleClosed - last.IdleClosed, "connectionRefused": counts.RefusedConns - last.RefusedConns,
-	}
-	for action, n := range since {
-		s.metrics.callerLimits.WithLabelValues(action).Add(float64(n))
-	}
-	s.log.Warn().Str("event", "callersLimited").Int64("headsRefused", since["headRefused"]).Int64("headsClosed", since["headClosed"]).
-		Int64("idleClosed", since["idleClosed"]).Int64("connectionsRefused", since["connectionRefused"]).
-		Int64("headBytes", s.frontend.limiter.Used()).Msg("")
-	return counts
-}
-
 // shutdown closes the idle connections and waits until the context ends for the responses
 // on the others. It returns false if some are left.
 func (f *frontend) shutdown(ctx context.Context) bool {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -12,8 +12,6 @@
 	"time"
 
 	"github.com/phuslu/log"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
-	"github.com/rotisserie/eris"
 	"golang.org/x/time/rate"
 
 	"github.com/pimentohinge/pimentohinge/internal/backend"
@@ -22,6 +20,7 @@
 	"github.com/pimentohinge/pimentohinge/internal/control/poison"
 	"github.com/pimentohinge/pimentohinge/internal/control/stopping"
 	"github.com/pimentohinge/pimentohinge/internal/headlimit"
+	"github.com/pimentohinge/pimentohinge/internal/machine"
 	"github.com/pimentohinge/pimentohinge/internal/network"
 	"github.com/pimentohinge/pimentohinge/internal/readlimit"
 	"github.com/pimentohinge/pimentohinge/internal/replica"
@@ -34,9 +33,6 @@
 const (
 	// sweepInterval is the interval at which expired idle connections are closed.
 	sweepInterval = time.Second
-	// bodyMemoryDivisor limits buffered request bodies to one sixth of the VM's memory,
-	// and buffered response bodies to another sixth.
-	bodyMemoryDivisor = 6
 	// successLinesPerSecond limits the log lines for successful requests; lines for
 	// all other requests are always written.
 	successLinesPerSecond = 400
@@ -54,6 +50,7 @@
 type Server struct {
 	opts     Options
 	log      *log.Logger
+	machine  machine.Machine
 	ctx      context.Context // cancelled when the server stops
 	cancel   context.CancelFunc
 	wg       sync.WaitGroup
@@ -64,6 +61,8 @@
 	frontend *frontend
 	// peers connects this VM to the other entry VMs.
 	peers *peerSet
+	// limiters holds the limiter of each listener.
+	limiters []*listenerLimiter
 
 	// successLog limits the log lines for successful requests; skippedLines counts
 	// the lines suppressed since the last report.
@@ -109,9 +108,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	abortCtx, abort := context.WithCancel(ctx)
 	bounds := opts.Settings.Bounds
-	bodyMemory := int64(opts.Settings.MemoryMb) << 20 / bodyMemoryDivisor
+	vmMachine := machineOf(opts.Settings)
+	bodyMemory := vmMachine.BodyBytes()
 	s := &Server{
-		opts: opts, log: opts.Log, ctx: ctx, cancel: cancel, abortCtx: abortCtx, abort: abort, pool: replica.New(opts.Network),
+		opts: opts, log: opts.Log, machine: vmMachine, ctx: ctx, cancel: cancel, abortCtx: abortCtx, abort: abort, pool: replica.New(opts.Network),
 		metrics: newMetrics(), streams: map[uint64]*stream{}, servers: map[string]backend.Server{},
 		requestBodies: readlimit.New(bodyMemory), responseBodies: readlimit.New(bodyMemory),
 		drains: map[backend.Instance]*serverDrain{}, checks: map[backend.Instance]bool{}, leaving: map[backend.Instance]bool{}, notBefore: map[backend.Instance]time.Time{}, cancels: map[uint64]context.CancelCauseFunc{},
@@ -147,40 +147,19 @@
 	s.quarantines = newQuarantineStore(store, opts.Log, s.metrics, s.peers.leads, func(evidence poison.Evidence) {
 		s.loop.post(dispatch.PeerEvidence{Evidence: evidence, PassOn: true})
 	})
-	s.frontend = newFrontend(s.handler(), s.spawn, s.log, newHeadLimiter(opts.Settings))
+	callerLimiter := headlimit.New(vmMachine.Callers())
+	s.limiters = []*listenerLimiter{{listener: "callers", limiter: callerLimiter}}
+	s.frontend = newFrontend(s.handler(), s.spawn, s.log, callerLimiter)
 	return s
 }
 
 // Start opens the listeners and starts the background goroutines. The error names
 // the address that could not be opened.
 func (s *Server) Start() error {
-	listen := s.opts.Settings.Listen
-	metrics := promhttp.HandlerFor(s.metrics.registry, promhttp.HandlerOpts{})
-	ready := http.NewServeMux()
-	ready.HandleFunc("GET "+platform.PathReady, s.handleReady)
-	ready.Handle("GET "+metricsPath, metrics)
-	metricsOnly := http.NewServeMux()
-	metricsOnly.Handle("GET "+metricsPath, metrics)
-	for _, endpoint := range []struct {
-		name, address string
-		handler       http.Handler
-	}{{"readiness", listen.Ready, ready}, {"peers", listen.Peers, s.peers}, {"metrics", listen.Metrics, metricsOnly}} {
-		if endpoint.address == "" {
-			continue
-		}
-		ln, err := s.opts.Network.Listen(endpoint.address)
-		if err != nil {
-			s.Kill()
-			return eris.Wrapf(err, "listen for %s at %s", endpoint.name, endpoint.address)
-		}
-		server := &http.Server{Handler: endpoint.handler, ReadHeaderTimeout: internalHeaderTimeout, MaxHeaderBytes: defaultHeaderBytes}
-		s.spawn(func() { _ = server.Serve(ln) })
-		context.AfterFunc(s.ctx, func() { _ = server.Close() })
-	}
-	callers, err := s.opts.Network.Listen(listen.Callers)
+	callers, err := s.listen()
 	if err != nil {
 		s.Kill()
-		return eris.Wrapf(err, "listen for callers at %s", listen.Callers)
+		return err
 	}
 	context.AfterFunc(s.ctx, func() { _ = callers.Close() })
 	s.spawn(func() { s.frontend.accept(s.ctx, callers) })
@@ -189,18 +168,12 @@
 	s.spawn(func() { s.peers.join(s.ctx, s.opts.Network) })
 	s.spawn(func() { s.quarantines.run(s.ctx) })
 	s.spawn(s.sweepLoop)
-	vm := s.opts.Settings.VM
+	vm, listen := s.opts.Settings.VM, s.opts.Settings.Listen
 	s.log.Info().Str("event", "started").Str("vm", vm.Name).Str("dataCentre", vm.DataCentre).
 		Str("callers", listen.Callers).Str("ready", listen.Ready).Str("store", s.opts.Settings.Store.Address).Msg("")
 	return nil
 }
 
-const metricsPath = "/metrics"
-
-// internalHeaderTimeout bounds reading request headers on the readiness, peer and
-// metrics listeners.
-const internalHeaderTimeout = 2 * time.Second
-
 // spawn runs f in a goroutine that Kill waits for.
 func (s *Server) spawn(f func()) {
 	s.wg.Add(1)
@@ -212,10 +185,9 @@
 
 // sweepLoop closes expired idle connections and reports suppressed log lines.
 func (s *Server) sweepLoop() {
-	var limited headlimit.Counts
 	for sleep.For(s.ctx, sweepInterval) {
 		s.pool.CloseExpired(time.Now())
-		limited = s.reportLimits(limited)
+		s.reportLimits()
 		if n := s.skippedLines.Swap(0); n > 0 {
 			s.log.Info().Str("event", "linesSkipped").Int64("count", n).Msg("")
 		}
--- /dev/null
+++ b/internal/ingress/listeners.go
@@ -0,0 +1,92 @@
+package ingress
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rotisserie/eris"
+
+	"github.com/pimentohinge/pimentohinge/internal/headlimit"
+	"github.com/pimentohinge/pimentohinge/internal/machine"
+	"github.com/pimentohinge/pimentohinge/internal/settings"
+	"github.com/pimentohinge/pimentohinge/platform"
+)
+
+const (
+	metricsPath = "/metrics"
+	// internalHeaderTimeout and internalIdleTimeout bound reading request headers on the readiness,
+	// peer and metrics listeners, and the time between two requests.
+	internalHeaderTimeout = 2 * time.Second
+	internalIdleTimeout   = time.Minute
+)
+
+// machineOf returns what the process may take.
+func machineOf(config settings.Gateway) machine.Machine {
+	return machine.Machine{Bytes: int64(config.MemoryMb) << 20, Descriptors: config.MaxDescriptors}
+}
+
+// listenerLimiter is the limiter of a listener, with what it had counted at the last report.
+type listenerLimiter struct {
+	listener string
+	limiter  *headlimit.Limiter
+	reported headlimit.Counts
+}
+
+// listen opens all listeners but the one for callers, which it returns.
+func (s *Server) listen() (callers net.Listener, err error) {
+	addresses := s.opts.Settings.Listen
+	metrics := promhttp.HandlerFor(s.metrics.registry, promhttp.HandlerOpts{})
+	ready := http.NewServeMux()
+	ready.HandleFunc("GET "+platform.PathReady, s.handleReady)
+	ready.Handle("GET "+metricsPath, metrics)
+	metricsOnly := http.NewServeMux()
+	metricsOnly.Handle("GET "+metricsPath, metrics)
+	for _, endpoint := range []struct {
+		name, address string
+		handler       http.Handler
+	}{{"readiness", addresses.Ready, ready}, {"peers", addresses.Peers, s.peers}, {"metrics", addresses.Metrics, metricsOnly}} {
+		if endpoint.address == "" {
+			continue
+		}
+		ln, err := s.opts.Network.Listen(endpoint.address)
+		if err != nil {
+			return nil, eris.Wrapf(err, "listen for %s at %s", endpoint.name, endpoint.address)
+		}
+		server := &http.Server{
+			Handler: endpoint.handler, ReadHeaderTimeout: internalHeaderTimeout, IdleTimeout: internalIdleTimeout, MaxHeaderBytes: defaultHeaderBytes,
+		}
+		limiter := headlimit.New(s.machine.Internal())
+		s.limiters = append(s.limiters, &listenerLimiter{listener: endpoint.name, limiter: limiter})
+		s.spawn(func() { _ = limiter.Serve(server, ln) })
+		context.AfterFunc(s.ctx, func() { _ = server.Close() })
+	}
+	callers, err = s.opts.Network.Listen(addresses.Callers)
+	if err != nil {
+		return nil, eris.Wrapf(err, "listen for callers at %s", addresses.Callers)
+	}
+	return callers, nil
+}
+
+// reportLimits logs and counts what the limiters have refused or closed since the last report.
+func (s *Server) reportLimits() {
+	for _, l := range s.limiters {
+		counts := l.limiter.Counts()
+		if counts == l.reported {
+			continue
+		}
+		since := map[string]int64{
+			"headRefused": counts.RefusedHeads - l.reported.RefusedHeads, "headClosed": counts.EvictedHeads - l.reported.EvictedHeads,
+			"idleClosed": counts.IdleClosed - l.reported.IdleClosed, "connectionRefused": counts.RefusedConns - l.reported.RefusedConns,
+		}
+		l.reported = counts
+		for action, n := range since {
+			s.metrics.listenerLimits.WithLabelValues(l.listener, action).Add(float64(n))
+		}
+		s.log.Warn().Str("event", "listenerLimited").Str("listener", l.listener).Int64("headsRefused", since["headRefused"]).
+			Int64("headsClosed", since["headClosed"]).Int64("idleClosed", since["idleClosed"]).
+			Int64("connectionsRefused", since["connectionRefused"]).Int64("headBytes", l.limiter.Used()).Msg("")
+	}
+}
--- /dev/null
+++ b/internal/machine/machine.go
@@ -0,0 +1,87 @@
+// Package machine divides the memory and the descriptors of a VM between the clients of its
+// listeners, so that all of them together take no more than there is.
+package machine
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/pimentohinge/pimentohinge/internal/headlimit"
+	"github.com/pimentohinge/pimentohinge/internal/outcome"
+	"github.com/pimentohinge/pimentohinge/internal/problem"
+)
+
+// Shares of the memory.
+const (
+	// callerHeadsDivisor limits the heads of callers' requests to one eighth of the memory, and
+	// callerConnsDivisor their connections to one fourth.
+	callerHeadsDivisor = 8
+	callerConnsDivisor = 4
+	// internalDivisor limits the heads at each other listener, and the connections there, to 1/64 of
+	// the memory each.
+	internalDivisor = 64
+	// bodiesDivisor limits request bodies that are buffered to one sixth of the memory, and response
+	// bodies to another sixth.
+	bodiesDivisor = 6
+	// connBytes is the memory of one connection without its requests.
+	connBytes = 32 << 10
+)
+
+// Shares of the descriptors.
+const (
+	// reservedDescriptors are not available for clients' connections.
+	reservedDescriptors = 200
+	// callersShare is the part of the others that callers get: a request in progress takes a second
+	// descriptor. internalShare is the part of each other listener.
+	callersShare  = 2
+	internalShare = 8
+	// minConns is the least number of connections of a listener.
+	minConns = 8
+)
+
+// retryAfterS is the advised delay in seconds after a head was refused.
+const retryAfterS = 1
+
+// Machine is what a process may take. Bytes is above 0.
+type Machine struct {
+	// Bytes is the memory in bytes.
+	Bytes int64
+	// Descriptors is the number of descriptors; 0 means that only the memory limits connections.
+	Descriptors int
+}
+
+// BodyBytes returns the memory for request bodies, and for response bodies.
+func (m Machine) BodyBytes() int64 { return m.Bytes / bodiesDivisor }
+
+// Callers returns the limits of the listener for callers.
+func (m Machine) Callers() headlimit.Options {
+	return headlimit.Options{
+		MaxConns: m.conns(callerConnsDivisor, callersShare), MemoryBytes: m.Bytes / callerHeadsDivisor, Refusal: refusal(),
+	}
+}
+
+// Internal returns the limits of each of the other listeners.
+func (m Machine) Internal() headlimit.Options {
+	return headlimit.Options{
+		MaxConns: m.conns(internalDivisor, internalShare), MemoryBytes: m.Bytes / internalDivisor, Refusal: refusal(),
+	}
+}
+
+// conns returns the number of connections that fit into a part of the memory and of the descriptors.
+func (m Machine) conns(memoryDivisor int64, share int) int {
+	conns := max(minConns, int(m.Bytes/memoryDivisor/connBytes))
+	if m.Descriptors > 0 {
+		conns = min(conns, max(minConns, (m.Descriptors-reservedDescriptors)/share))
+	}
+	return conns
+}
+
+// refusal returns the response to a head for which there is no memory.
+func refusal() []byte {
+	body, err := json.Marshal(problem.New("", outcome.Refuse(outcome.HeadsFull, "")))
+	if err != nil {
+		body = nil
+	}
+	return fmt.Appendf(nil, "HTTP/1.1 503 Service Unavailable\r\nContent-Type: %s\r\nRetry-After: %d\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s",
+		problem.ContentType, retryAfterS, len(body), body)
+}
