ingress: bodies that do not come no longer hold connections for ever

What callers saw: no connection was accepted any more, until the process ended.

Cause: http.Server reads what is left of a body after the response, without a deadline of its own. A caller that announced a body and did not send it kept its connection, as a request in progress, which the limiter does not close: with a refusal before the body (401, 404) and also with the 408 for a slow body, after which the deadline was removed. As many such callers as the VM takes connections kept all others out. The listeners of readiness, peers and metrics had the same.

Change: a request that is refused before its body was read has 0.5 s left for the body; the deadline is removed only when the body was read. The other listeners bound reading a whole request by 2 s.

Evidence: test/headflood TestBodiesThatDoNotCome, 400 connections, VM of 64 MB and 256 descriptors. On (one run) no ordinary request was answered in 20 attempts over 10 s beside the crowds refused and accepted. Now, three runs: all crowds pass, 23 to 26 MB, at most 46 descriptors. ./test/gateway passes.

--- a/internal/ingress/filters.go
+++ b/internal/ingress/filters.go
@@ -25,6 +25,8 @@
 	defaultBodyBytes = 4 << 20
 	// bodyTimeout bounds reading a request body.
 	bodyTimeout = 2 * time.Second
+	// unreadBodyTimeout bounds the time in which the body of a refused request arrives.
+	unreadBodyTimeout = 500 * time.Millisecond
 	// shortRetryDelay is the advised retry delay when another VM can take the request
 	// at once.
 	shortRetryDelay = 50 * time.Millisecond
@@ -114,6 +116,7 @@
 	}
 	for _, f := range []filter{s.requireConfig, s.matchRoute, s.authorize, s.setDeadline, s.checkStopping, s.readBody} {
 		if out, ok := f(req); !ok {
+			req.boundUnreadBody()
 			s.writeRefusal(req, out)
 			s.recordOutcome(req, out)
 			abortIfIncomplete(out)
@@ -214,7 +217,9 @@
 	_ = rc.SetReadDeadline(time.Now().Add(min(bodyTimeout, time.Until(req.deadline))))
 	req.requestMemory = s.requestBodies.Reserve()
 	body, err := req.requestMemory.ReadAll(http.MaxBytesReader(req.w, req.r.Body, int64(limit)), req.r.ContentLength, int64(limit))
-	_ = rc.SetReadDeadline(time.Time{})
+	if err == nil {
+		_ = rc.SetReadDeadline(time.Time{})
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.Is(err, readlimit.ErrBudgetExhausted):
@@ -233,6 +238,14 @@
 	return refuse(outcome.SlowBody, err.Error(), 0)
 }
 
+// boundUnreadBody bounds the time in which the body of a refused request arrives. Without it an
+// http.Server waits for the rest before it closes the connection or reads the next request.
+func (req *request) boundUnreadBody() {
+	if req.r.Body != nil && req.r.Body != http.NoBody {
+		_ = http.NewResponseController(req.w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+	}
+}
+
 // writeRefusal sends a problem document in place of a replica's response.
 func (s *Server) writeRefusal(req *request, out outcome.Result) {
 	status := out.Cause.Status()
--- a/internal/ingress/listeners.go
+++ b/internal/ingress/listeners.go
@@ -17,10 +17,10 @@
 
 const (
 	metricsPath = "/metrics"
-	// internalHeaderTimeout and internalIdleTimeout bound reading request headers on the readiness,
-	// peer and metrics listeners, and the time between two requests.
-	internalHeaderTimeout = 2 * time.Second
-	internalIdleTimeout   = time.Minute
+	// internalReadTimeout and internalIdleTimeout bound reading a request on the readiness, peer and
+	// metrics listeners, and the time between two requests.
+	internalReadTimeout = 2 * time.Second
+	internalIdleTimeout = time.Minute
 )
 
 // machineOf returns what the process may take.
@@ -56,7 +56,7 @@
 			return nil, eris.Wrapf(err, "listen for %s at %s", endpoint.name, endpoint.address)
 		}
 		server := &http.Server{
-			Handler: endpoint.handler, ReadHeaderTimeout: internalHeaderTimeout, IdleTimeout: internalIdleTimeout, MaxHeaderBytes: defaultHeaderBytes,
+			Handler: endpoint.handler, ReadTimeout: internalReadTimeout, IdleTimeout: internalIdleTimeout, MaxHeaderBytes: defaultHeaderBytes,
 		}
 		limiter := headlimit.New(s.machine.Internal())
 		s.limiters = append(s.limiters, &listenerLimiter{listener: endpoint.name, limiter: limiter})
