ingress: callers that do not read no longer hold their connections for ever

What callers saw: no connection was accepted any more, until the process ended.

Cause: writing a response had no deadline. A caller that asked for more than the buffers of its connection hold and did not read it kept the connection, as a request in progress, and the memory of the response, for ever: the deadline of the request ends its context, but not a write. As many such callers as the VM takes connections kept all others out.

Change: a response must be written 1 s after the deadline of its request, a refusal 5 s after the request arrived, responses of the other listeners 5 s after the request. The deadline is removed when the connection becomes idle.

Evidence: test/headflood TestCallersThatDoNotRead, 400 callers with 20 pipelined requests for 320 KiB each, VM of 64 MB and 256 descriptors.

--- a/internal/headlimit/headlimit.go
+++ b/internal/headlimit/headlimit.go
@@ -202,6 +202,8 @@
 	case http.StateIdle:
 		l.release(c)
 		c.begun, c.served = false, true
+		// The deadline for the last response does not hold for the next one.
+		_ = conn.SetWriteDeadline(time.Time{})
 		if c.element == nil && !c.closed {
 			c.element = l.waiting.PushBack(c)
 		}
--- a/internal/ingress/filters.go
+++ b/internal/ingress/filters.go
@@ -27,6 +27,10 @@
 	bodyTimeout = 2 * time.Second
 	// unreadBodyTimeout bounds the time in which the body of a refused request arrives.
 	unreadBodyTimeout = 500 * time.Millisecond
+	// refusalTimeout bounds the time from the arrival of a request until its refusal is written, and
+	// responseGrace that from its deadline until its response is written.
+	refusalTimeout = 5 * time.Second
+	responseGrace  = time.Second
 	// shortRetryDelay is the advised retry delay when another VM can take the request
 	// at once.
 	shortRetryDelay = 50 * time.Millisecond
@@ -114,6 +118,7 @@
 	if s.stopSchedule.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
+	req.boundResponse(req.arrived.Add(refusalTimeout))
 	for _, f := range []filter{s.requireConfig, s.matchRoute, s.authorize, s.setDeadline, s.checkStopping, s.readBody} {
 		if out, ok := f(req); !ok {
 			req.boundUnreadBody()
@@ -123,6 +128,7 @@
 			return
 		}
 	}
+	req.boundResponse(req.deadline.Add(responseGrace))
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
 	defer cancel()
 	ctx, cancelCause := context.WithCancelCause(ctx)
@@ -238,6 +244,12 @@
 	return refuse(outcome.SlowBody, err.Error(), 0)
 }
 
+// boundResponse sets the time by which the response must be written. A caller that does not read it
+// would hold its connection and the memory of the response for ever.
+func (req *request) boundResponse(deadline time.Time) {
+	_ = http.NewResponseController(req.w).SetWriteDeadline(deadline)
+}
+
 // boundUnreadBody bounds the time in which the body of a refused request arrives. Without it an
 // http.Server waits for the rest before it closes the connection or reads the next request.
 func (req *request) boundUnreadBody() {
--- a/internal/ingress/listeners.go
+++ b/internal/ingress/listeners.go
@@ -17,10 +17,12 @@
 
 const (
 	metricsPath = "/metrics"
-	// internalReadTimeout and internalIdleTimeout bound reading a request on the readiness, peer and
-	// metrics listeners, and the time between two requests.
-	internalReadTimeout = 2 * time.Second
-	internalIdleTimeout = time.Minute
+	// internalReadTimeout, internalWriteTimeout and internalIdleTimeout bound reading a request on the
+	// readiness, peer and metrics listeners, the time from its head to the end of the response, and the
+	// time between two requests.
+	internalReadTimeout  = 2 * time.Second
+	internalWriteTimeout = 5 * time.Second
+	internalIdleTimeout  = time.Minute
 )
 
 // machineOf returns what the process may take.
@@ -56,7 +58,8 @@
 			return nil, eris.Wrapf(err, "listen for %s at %s", endpoint.name, endpoint.address)
 		}
 		server := &http.Server{
-			Handler: endpoint.handler, ReadTimeout: internalReadTimeout, IdleTimeout: internalIdleTimeout, MaxHeaderBytes: defaultHeaderBytes,
+			Handler: endpoint.handler, ReadTimeout: internalReadTimeout, WriteTimeout: internalWriteTimeout,
+			IdleTimeout: internalIdleTimeout, MaxHeaderBytes: defaultHeaderBytes,
 		}
 		limiter := headlimit.New(s.machine.Internal())
 		s.limiters = append(s.limiters, &listenerLimiter{listener: endpoint.name, limiter: limiter})
