peer: a client without the key takes no more than a hello

What callers saw: clients at the peers' listener ended the process, though they do not have the key of the VMs.

The limits of the listener did not count connections that had become WebSockets.

Change: messages of the handshake have 4 KiB at most. A connection counts, and may be closed for others, until its client has proven who it is; open links neither count nor give way. Hijacked connections of other listeners count until they are closed.

--- a/internal/headlimit/headlimit.go
+++ b/internal/headlimit/headlimit.go
@@ -46,6 +46,10 @@
 	MemoryBytes int64
 	// Refusal is the whole response to a head for which there is no memory.
 	Refusal []byte
+	// Handshakes is set if clients of hijacked connections must prove who they are. Such a connection
+	// counts, and may give way to others, until Conn.Established is called. Otherwise it counts, and
+	// does not give way, until it is closed.
+	Handshakes bool
 }
 
 // Counts counts what a Limiter has refused or closed.
@@ -113,9 +117,11 @@
 	// unread is the cost of what was read last in the previous request: the next head may have
 	// begun in it.
 	unread int64
-	// evicted is set when the limiter closed the connection, closed when it is not counted, and
-	// muted when nothing more may be written as a head could not be read to its end.
-	evicted, closed, muted bool
+	// evicted is set when the limiter closed the connection, uncounted when it does not count any
+	// more, and muted when nothing more may be written as a head could not be read to its end.
+	evicted, uncounted, muted bool
+	// hijacked is set when no further head follows.
+	hijacked bool
 }
 
 // Wrap returns the limited connection, or nil when there are too many. It closes a connection
@@ -172,8 +178,8 @@
 func (l *Limiter) remove(c *Conn) {
 	l.release(c)
 	l.stopWaiting(c)
-	if !c.closed {
-		c.closed = true
+	if !c.uncounted {
+		c.uncounted = true
 		l.conns--
 	}
 }
@@ -204,15 +210,38 @@
 		c.begun, c.served = false, true
 		// The deadline for the last response does not hold for the next one.
 		_ = conn.SetWriteDeadline(time.Time{})
-		if c.element == nil && !c.closed {
+		if c.element == nil && !c.uncounted {
 			c.element = l.waiting.PushBack(c)
 		}
-	case http.StateClosed, http.StateHijacked:
+	case http.StateHijacked:
+		l.release(c)
+		c.hijacked = true
+		if l.opts.Handshakes && !c.uncounted {
+			c.begun = true
+			c.element = l.waiting.PushBack(c)
+		}
+	case http.StateClosed:
 		l.remove(c)
 	case http.StateNew:
 	}
 }
 
+// Established records that the client of a hijacked connection has proven who it is. The connection
+// does not count any more.
+func (c *Conn) Established() {
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	c.limiter.remove(c)
+}
+
+// Close closes the connection. An http.Server does not report the end of hijacked ones.
+func (c *Conn) Close() error {
+	c.limiter.mu.Lock()
+	c.limiter.remove(c)
+	c.limiter.mu.Unlock()
+	return c.Conn.Close()
+}
+
 // Evicted reports whether the limiter has closed the connection.
 func (c *Conn) Evicted() bool {
 	c.limiter.mu.Lock()
@@ -297,8 +326,10 @@
 		_ = victim.Conn.Close()
 	}
 	if refused {
-		_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout))
-		_, _ = c.Conn.Write(l.opts.Refusal)
+		if !c.hijacked {
+			_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout))
+			_, _ = c.Conn.Write(l.opts.Refusal)
+		}
 		return readError(errRefused)
 	}
 	return nil
@@ -339,7 +370,7 @@
 
 // add adds to the cost of a connection.
 func (l *Limiter) add(c *Conn, cost int64) {
-	if c.closed || cost == 0 {
+	if c.uncounted || cost == 0 {
 		return
 	}
 	l.used[c.size()] -= c.cost
--- a/internal/headlimit/server.go
+++ b/internal/headlimit/server.go
@@ -46,10 +46,16 @@
 	return context.WithValue(ctx, connKey{}, conn)
 }
 
+// FromContext returns the connection of a request, or nil if it has no limiter.
+func FromContext(ctx context.Context) *Conn {
+	conn, _ := ctx.Value(connKey{}).(*Conn)
+	return conn
+}
+
 // abortEvicted ends a request whose connection was closed just as its head became complete.
 func abortEvicted(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if conn, ok := r.Context().Value(connKey{}).(*Conn); ok && conn.Evicted() {
+		if conn := FromContext(r.Context()); conn != nil && conn.Evicted() {
 			panic(http.ErrAbortHandler)
 		}
 		next.ServeHTTP(w, r)
--- a/internal/ingress/listeners.go
+++ b/internal/ingress/listeners.go
@@ -49,7 +49,12 @@
 	for _, endpoint := range []struct {
 		name, address string
 		handler       http.Handler
-	}{{"readiness", addresses.Ready, ready}, {"peers", addresses.Peers, s.peers}, {"metrics", addresses.Metrics, metricsOnly}} {
+		limits        headlimit.Options
+	}{
+		{"readiness", addresses.Ready, ready, s.machine.Internal()},
+		{"peers", addresses.Peers, s.peers, s.machine.Peers()},
+		{"metrics", addresses.Metrics, metricsOnly, s.machine.Internal()},
+	} {
 		if endpoint.address == "" {
 			continue
 		}
@@ -61,7 +66,7 @@
 			Handler: endpoint.handler, ReadTimeout: internalReadTimeout, WriteTimeout: internalWriteTimeout,
 			IdleTimeout: internalIdleTimeout, MaxHeaderBytes: defaultHeaderBytes,
 		}
-		limiter := headlimit.New(s.machine.Internal())
+		limiter := headlimit.New(endpoint.limits)
 		s.limiters = append(s.limiters, &listenerLimiter{listener: endpoint.name, limiter: limiter})
 		s.spawn(func() { _ = limiter.Serve(server, ln) })
 		context.AfterFunc(s.ctx, func() { _ = server.Close() })
--- a/internal/machine/machine.go
+++ b/internal/machine/machine.go
@@ -60,13 +60,20 @@
 	}
 }
 
-// Internal returns the limits of each of the other listeners.
+// Internal returns the limits of each listener for readiness checks, metrics or operators.
 func (m Machine) Internal() headlimit.Options {
 	return headlimit.Options{
 		MaxConns: m.conns(internalDivisor, internalShare), MemoryBytes: m.Bytes / internalDivisor, Refusal: refusal(),
 	}
 }
 
+// Peers returns the limits of the listener for other VMs. Links that are open do not count.
+func (m Machine) Peers() headlimit.Options {
+	options := m.Internal()
+	options.Handshakes = true
+	return options
+}
+
 // conns returns the number of connections that fit into a part of the memory and of the descriptors.
 func (m Machine) conns(memoryDivisor int64, share int) int {
 	conns := max(minConns, int(m.Bytes/memoryDivisor/connBytes))
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -17,6 +17,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
+	"github.com/pimentohinge/pimentohinge/internal/headlimit"
 	"github.com/pimentohinge/pimentohinge/pkg/wire"
 )
 
@@ -25,8 +26,10 @@
 	ProtocolVersion = 1
 	// Path is the HTTP path of the WebSocket endpoint.
 	Path = "/peer"
-	// maxFrameBytes is large enough for a snapshot of the configuration.
+	// maxFrameBytes is large enough for a snapshot of the configuration, maxHelloBytes for the frames
+	// of the handshake.
 	maxFrameBytes = 4 << 20
+	maxHelloBytes = 4 << 10
 	// maxQueuedFrames is the capacity of the send queue of one link.
 	maxQueuedFrames  = 256
 	handshakeTimeout = 2 * time.Second
@@ -197,11 +200,12 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "dial peer")
 	}
-	conn.SetReadLimit(maxFrameBytes)
+	conn.SetReadLimit(maxHelloBytes)
 	if err := l.clientHandshake(ctx, conn, vm); err != nil {
 		_ = conn.CloseNow()
 		return nil, err
 	}
+	conn.SetReadLimit(maxFrameBytes)
 	return conn, nil
 }
 
@@ -301,7 +305,7 @@
 	if err != nil {
 		return
 	}
-	conn.SetReadLimit(maxFrameBytes)
+	conn.SetReadLimit(maxHelloBytes)
 	ctx, cancel := context.WithTimeout(l.ctx, handshakeTimeout)
 	vm, err := l.serverHandshake(ctx, conn)
 	cancel()
@@ -309,6 +313,10 @@
 		_ = conn.Close(websocket.StatusPolicyViolation, "handshake failed")
 		return
 	}
+	conn.SetReadLimit(maxFrameBytes)
+	if limited := headlimit.FromContext(r.Context()); limited != nil {
+		limited.Established()
+	}
 	link := &peerLink{vm: vm, queue: make(chan wire.Frame, maxQueuedFrames)}
 	l.mu.Lock()
 	if l.ctx.Err() != nil {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/pimentohinge/pimentohinge/internal/headlimit"
 	"github.com/pimentohinge/pimentohinge/internal/peer"
 	"github.com/pimentohinge/pimentohinge/pkg/wire"
 )
@@ -39,7 +40,8 @@
 	mux := http.NewServeMux()
 	mux.Handle(peer.Path, links)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}
-	go func() { _ = server.Serve(ln) }()
+	limiter := headlimit.New(headlimit.Options{MaxConns: maxUnproven, MemoryBytes: 1 << 20, Handshakes: true})
+	go func() { _ = limiter.Serve(server, ln) }()
 	t.Cleanup(func() {
 		_ = server.Close()
 		links.Close()
