logline: lines that wait to be written take 2 MiB at most

What callers saw: the process took more memory than its machine has when callers sent very long request IDs while the reader of the log had stalled.

Cause: the queue was bounded by 4,096 lines, of any length, and a line holds what callers choose: a request ID of 15 kB takes 30 kB in quotes.

Change: values are cut at 2 KiB, the line says how long they were, and the queue has a bound of 2 MiB besides its number of lines.

--- a/internal/logline/async.go
+++ b/internal/logline/async.go
@@ -8,8 +8,10 @@
 )
 
 const (
-	// maxQueuedLines is the capacity of the queue of lines to be written.
+	// maxQueuedLines is the capacity of the queue of lines to be written, and maxQueuedBytes that of
+	// all lines in it.
 	maxQueuedLines = 4096
+	maxQueuedBytes = 2 << 20
 	// closeTimeout limits the time that Close waits for queued lines to be written.
 	closeTimeout = 300 * time.Millisecond
 )
@@ -23,6 +25,8 @@
 	closing chan struct{}
 	done    chan struct{}
 	dropped atomic.Int64
+	// queued is the number of bytes in queue.
+	queued atomic.Int64
 }
 
 // NewAsync returns an Async that writes to out. The caller must call Close.
@@ -35,11 +39,16 @@
 // Write queues a line, or drops it when the queue is full. It never blocks or
 // returns an error.
 func (a *Async) Write(line []byte) (int, error) {
-	select {
-	case a.queue <- append([]byte(nil), line...):
-	default:
-		a.dropped.Add(1)
+	n := int64(len(line))
+	if a.queued.Add(n) <= maxQueuedBytes {
+		select {
+		case a.queue <- append([]byte(nil), line...):
+			return len(line), nil
+		default:
+		}
 	}
+	a.queued.Add(-n)
+	a.dropped.Add(1)
 	return len(line), nil
 }
 
@@ -74,6 +83,7 @@
 			timeField, time.Now().UTC().Format(time.RFC3339Nano), n)
 	}
 	_, _ = a.out.Write(line)
+	a.queued.Add(-int64(len(line)))
 }
 
 // Close writes the queued lines. It returns after closeTimeout even if some are
--- a/internal/logline/async_test.go
+++ b/internal/logline/async_test.go
@@ -76,3 +76,34 @@
 		t.Errorf("output %q", out.String())
 	}
 }
+
+// TestStalledOutputTakesLittleMemory logs long values while the output blocks.
+func TestStalledOutputTakesLittleMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &stalledWriter{release: make(chan struct{})}
+		async := logline.NewAsync(out)
+		line := []byte(strings.Repeat("x", 64<<10))
+		const lines = 1000
+		for range lines {
+			_, _ = async.Write(line)
+		}
+		if queued := (lines - int(async.Dropped())) * len(line); queued > 4<<20 {
+			t.Errorf("%d bytes are queued", queued)
+		}
+		close(out.release)
+		async.Close()
+		if !strings.HasPrefix(out.String(), "x") {
+			t.Error("no line was written")
+		}
+	})
+}
+
+// TestLongValuesAreCut logs a value that a caller chose.
+func TestLongValuesAreCut(t *testing.T) {
+	var out strings.Builder
+	logger := logline.New(&out, "info")
+	logger.Info().Str("event", "ended").Str("request", strings.Repeat("\t", 15_000)).Str("next", "x").Msg("")
+	if text := out.String(); len(text) > 8<<10 || !strings.Contains(text, "...(15000 bytes)") || !strings.Contains(text, "next=x") {
+		t.Errorf("line of %d bytes: %s", len(text), text[max(0, len(text)-100):])
+	}
+}
--- a/internal/logline/logline.go
+++ b/internal/logline/logline.go
@@ -12,7 +12,11 @@
 	"github.com/phuslu/log"
 )
 
-const timeField = "time"
+const (
+	timeField = "time"
+	// maxValueBytes is the length to which values are cut. Callers choose some of them.
+	maxValueBytes = 2 << 10
+)
 
 // New returns a logger that writes events of at least the given level to w. The
 // level is debug, info, warn or error.
@@ -29,21 +33,30 @@
 	b.WriteString(timeField + "=" + a.Time + " level=" + a.Level)
 	for _, kv := range a.KeyValues {
 		b.WriteString(" " + kv.Key + "=")
+		value := cut(kv.Value)
 		switch {
-		case kv.ValueType == 's' && needsQuotes(kv.Value):
-			b.WriteString(strconv.Quote(kv.Value))
+		case kv.ValueType == 's' && needsQuotes(value):
+			b.WriteString(strconv.Quote(value))
 		case kv.ValueType == 't':
 			b.WriteString("true")
 		case kv.ValueType == 'f':
 			b.WriteString("false")
 		default:
-			b.WriteString(kv.Value)
+			b.WriteString(value)
 		}
 	}
 	b.WriteByte('\n')
 	return w.Write(b.Bytes())
 }
 
+// cut returns a value of at most maxValueBytes and says how long the whole one is.
+func cut(value string) string {
+	if len(value) <= maxValueBytes {
+		return value
+	}
+	return value[:maxValueBytes] + "...(" + strconv.Itoa(len(value)) + " bytes)"
+}
+
 func needsQuotes(s string) bool {
 	return s == "" || strings.ContainsFunc(s, func(r rune) bool {
 		return r <= ' ' || r == '"' || r == '=' || r > '~'
