ingress: small receive buffers for callers

What callers saw: the process took more memory than its machine has. Where the platform plays a machine, bytes that have been received and not read count as memory of the process.

Cause: while a request is in progress nothing is read from its connection, and the kernel keeps 64 KiB and more of what the caller sends next.

Change: connections of callers have a receive buffer of 16 KiB, which Linux doubles. It is set on the listener, so that the window which the connection announces fits it from the beginning. Links between VMs and the other listeners keep theirs.

--- a/internal/ingress/listeners.go
+++ b/internal/ingress/listeners.go
@@ -11,12 +11,16 @@
 
 	"github.com/pimentohinge/pimentohinge/internal/headlimit"
 	"github.com/pimentohinge/pimentohinge/internal/machine"
+	"github.com/pimentohinge/pimentohinge/internal/network"
 	"github.com/pimentohinge/pimentohinge/internal/settings"
 	"github.com/pimentohinge/pimentohinge/platform"
 )
 
 const (
 	metricsPath = "/metrics"
+	// callerReadBuffer is the size of the receive buffer of a caller's connection. What it holds counts
+	// as memory of the process.
+	callerReadBuffer = 16 << 10
 	// internalReadTimeout, internalWriteTimeout and internalIdleTimeout bound reading a request on the
 	// readiness, peer and metrics listeners, the time from its head to the end of the response, and the
 	// time between two requests.
@@ -75,6 +79,9 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen for callers at %s", addresses.Callers)
 	}
+	if err := network.SetReadBuffer(callers, callerReadBuffer); err != nil {
+		s.log.Warn().Str("event", "readBuffer").Str("reason", err.Error()).Msg("")
+	}
 	return callers, nil
 }
 
--- a/internal/network/network.go
+++ b/internal/network/network.go
@@ -7,6 +7,7 @@
 	"crypto/tls"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 )
 
@@ -63,3 +64,23 @@
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
+
+// SetReadBuffer sets the size in bytes of the buffers in which the connections of a listener receive
+// what has not been read. Other listeners than those of TCP have no such buffers.
+func SetReadBuffer(ln net.Listener, bytes int) error {
+	socket, ok := ln.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var optionErr error
+	if err := raw.Control(func(fd uintptr) {
+		optionErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, bytes)
+	}); err != nil {
+		return err
+	}
+	return optionErr
+}
