vm, machine: limits for the listeners of serve

What callers saw: a crowd at any listener of serve ended the process: heads of legal size made of short lines, or connections beyond its descriptors.

Cause: serve limited a head to 32 KiB, but neither all heads nor the connections.

Change: its three listeners have the limits of the gateway. Memory and descriptors come from the settings (memoryMb, maxDescriptors), else from the machine, the control group and the limit on open files; they also set the soft limit of the Go runtime. Idle connections are closed after 2 minutes. Log lines are written in the background, so that a reader of the log that has stalled does not stall the process. The limiters of a process are one collector (machine.Listeners), which the gateway uses too.

Evidence: test/headflood TestCrowdsAtServe and TestCrowdsAtServeWithTLS, 400 connections with heads of 30 kB, 60 with first messages of 4 MiB, VM of 64 MB and 256 descriptors.

--- a/cmd/pimentohinge/gateway.go
+++ b/cmd/pimentohinge/gateway.go
@@ -3,23 +3,19 @@
 import (
 	"context"
 	"os"
-	"runtime/debug"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/rotisserie/eris"
 
 	"github.com/pimentohinge/pimentohinge/internal/ingress"
 	"github.com/pimentohinge/pimentohinge/internal/logline"
+	"github.com/pimentohinge/pimentohinge/internal/machine"
 	"github.com/pimentohinge/pimentohinge/internal/network"
 	"github.com/pimentohinge/pimentohinge/internal/settings"
 	"github.com/pimentohinge/pimentohinge/internal/signals"
 	"github.com/pimentohinge/pimentohinge/platform"
 )
 
-// memoryLimitPercent is the soft memory limit of the Go runtime as a share of the
-// VM's memory. Near the limit the garbage collector runs more often.
-const memoryLimitPercent = 70
-
 func init() {
 	register(command{name: "gateway", help: "Run an entry VM on the users' platform.", setup: func(c *kingpin.CmdClause) func() error {
 		file := c.Flag("settings", "Settings file; by default the one that the platform provides.").Default(platform.SettingsPath()).String()
@@ -36,7 +32,7 @@
 	out := logline.NewAsync(os.Stdout)
 	defer out.Close()
 	logger := logline.New(out, config.Log.Level)
-	debug.SetMemoryLimit(int64(config.MemoryMb) << 20 / 100 * memoryLimitPercent)
+	machine.Machine{}.With(config.MemoryMb, config.MaxDescriptors).LimitGC()
 	server := ingress.New(ingress.Options{Settings: config, Network: network.TCP{}, Log: logger})
 	if err := server.Start(); err != nil {
 		return err
--- a/cmd/pimentohinge/serve.go
+++ b/cmd/pimentohinge/serve.go
@@ -29,7 +29,10 @@
 	if err != nil {
 		return &exitError{code: exitUsage, err: err}
 	}
-	logger := logline.New(os.Stderr, config.Log.Level)
+	out := logline.NewAsync(os.Stderr)
+	defer out.Close()
+	logger := logline.New(out, config.Log.Level)
+	vm.Machine(config).LimitGC()
 	entryVM := vm.New(vm.Options{Settings: config, Network: network.TCP{}, Log: logger, Seed: rand.Uint64()})
 	if err := entryVM.Start(); err != nil {
 		return err
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -19,7 +19,6 @@
 	"github.com/pimentohinge/pimentohinge/internal/control/dispatch"
 	"github.com/pimentohinge/pimentohinge/internal/control/poison"
 	"github.com/pimentohinge/pimentohinge/internal/control/stopping"
-	"github.com/pimentohinge/pimentohinge/internal/headlimit"
 	"github.com/pimentohinge/pimentohinge/internal/machine"
 	"github.com/pimentohinge/pimentohinge/internal/network"
 	"github.com/pimentohinge/pimentohinge/internal/readlimit"
@@ -61,8 +60,8 @@
 	frontend *frontend
 	// peers connects this VM to the other entry VMs.
 	peers *peerSet
-	// limiters holds the limiter of each listener.
-	limiters []*listenerLimiter
+	// listeners holds the limiter of each listener.
+	listeners machine.Listeners
 
 	// successLog limits the log lines for successful requests; skippedLines counts
 	// the lines suppressed since the last report.
@@ -108,7 +107,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	abortCtx, abort := context.WithCancel(ctx)
 	bounds := opts.Settings.Bounds
-	vmMachine := machineOf(opts.Settings)
+	vmMachine := machine.Machine{}.With(opts.Settings.MemoryMb, opts.Settings.MaxDescriptors)
 	bodyMemory := vmMachine.BodyBytes()
 	s := &Server{
 		opts: opts, log: opts.Log, machine: vmMachine, ctx: ctx, cancel: cancel, abortCtx: abortCtx, abort: abort, pool: replica.New(opts.Network),
@@ -147,9 +146,8 @@
 	s.quarantines = newQuarantineStore(store, opts.Log, s.metrics, s.peers.leads, func(evidence poison.Evidence) {
 		s.loop.post(dispatch.PeerEvidence{Evidence: evidence, PassOn: true})
 	})
-	callerLimiter := headlimit.New(vmMachine.Callers())
-	s.limiters = []*listenerLimiter{{listener: "callers", limiter: callerLimiter}}
-	s.frontend = newFrontend(s.handler(), s.spawn, s.log, callerLimiter)
+	s.metrics.registry.MustRegister(&s.listeners)
+	s.frontend = newFrontend(s.handler(), s.spawn, s.log, s.listeners.Add("callers", vmMachine.Callers()))
 	return s
 }
 
@@ -187,7 +185,7 @@
 func (s *Server) sweepLoop() {
 	for sleep.For(s.ctx, sweepInterval) {
 		s.pool.CloseExpired(time.Now())
-		s.reportLimits()
+		s.listeners.Report(s.log)
 		if n := s.skippedLines.Swap(0); n > 0 {
 			s.log.Info().Str("event", "linesSkipped").Int64("count", n).Msg("")
 		}
--- a/internal/ingress/listeners.go
+++ b/internal/ingress/listeners.go
@@ -10,9 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/pimentohinge/pimentohinge/internal/headlimit"
-	"github.com/pimentohinge/pimentohinge/internal/machine"
 	"github.com/pimentohinge/pimentohinge/internal/network"
-	"github.com/pimentohinge/pimentohinge/internal/settings"
 	"github.com/pimentohinge/pimentohinge/platform"
 )
 
@@ -29,18 +27,6 @@
 	internalIdleTimeout  = time.Minute
 )
 
-// machineOf returns what the process may take.
-func machineOf(config settings.Gateway) machine.Machine {
-	return machine.Machine{Bytes: int64(config.MemoryMb) << 20, Descriptors: config.MaxDescriptors}
-}
-
-// listenerLimiter is the limiter of a listener, with what it had counted at the last report.
-type listenerLimiter struct {
-	listener string
-	limiter  *headlimit.Limiter
-	reported headlimit.Counts
-}
-
 // listen opens all listeners but the one for callers, which it returns.
 func (s *Server) listen() (callers net.Listener, err error) {
 	addresses := s.opts.Settings.Listen
@@ -70,8 +56,7 @@
 			Handler: endpoint.handler, ReadTimeout: internalReadTimeout, WriteTimeout: internalWriteTimeout,
 			IdleTimeout: internalIdleTimeout, MaxHeaderBytes: defaultHeaderBytes,
 		}
-		limiter := headlimit.New(endpoint.limits)
-		s.limiters = append(s.limiters, &listenerLimiter{listener: endpoint.name, limiter: limiter})
+		limiter := s.listeners.Add(endpoint.name, endpoint.limits)
 		s.spawn(func() { _ = limiter.Serve(server, ln) })
 		context.AfterFunc(s.ctx, func() { _ = server.Close() })
 	}
@@ -84,24 +69,3 @@
 	}
 	return callers, nil
 }
-
-// reportLimits logs and counts what the limiters have refused or closed since the last report.
-func (s *Server) reportLimits() {
-	for _, l := range s.limiters {
-		counts := l.limiter.Counts()
-		if counts == l.reported {
-			continue
-		}
-		since := map[string]int64{
-			"headRefused": counts.RefusedHeads - l.reported.RefusedHeads, "headClosed": counts.EvictedHeads - l.reported.EvictedHeads,
-			"idleClosed": counts.IdleClosed - l.reported.IdleClosed, "connectionRefused": counts.RefusedConns - l.reported.RefusedConns,
-		}
-		l.reported = counts
-		for action, n := range since {
-			s.metrics.listenerLimits.WithLabelValues(l.listener, action).Add(float64(n))
-		}
-		s.log.Warn().Str("event", "listenerLimited").Str("listener", l.listener).Int64("headsRefused", since["headRefused"]).
-			Int64("headsClosed", since["headClosed"]).Int64("idleClosed", since["idleClosed"]).
-			Int64("connectionsRefused", since["connectionRefused"]).Int64("headBytes", l.limiter.Used()).Msg("")
-	}
-}
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -19,7 +19,6 @@
 	storeCalls       *prometheus.CounterVec
 	serverChecks     *prometheus.CounterVec
 	notices          *prometheus.CounterVec
-	listenerLimits   *prometheus.CounterVec
 	quarantined      prometheus.Gauge
 	configVersion    prometheus.Gauge
 	evacuated        prometheus.Gauge
@@ -54,9 +53,6 @@
 		notices: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pimentohinge_server_notices_total", Help: "What servers say of themselves in responses: that they leave, or want no requests for a while.",
 		}, []string{"notice"}),
-		listenerLimits: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "pimentohinge_listener_limits_total", Help: "Request heads and connections that were refused or closed to bound memory and descriptors.",
-		}, []string{"listener", "action"}),
 		quarantined: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "pimentohinge_quarantined_segments", Help: "Prompt segments whose requests are refused, as engines crashed on them.",
 		}),
@@ -67,7 +63,7 @@
 			Name: "pimentohinge_config_version", Help: "Version of the configuration in force.",
 		}),
 	}
-	m.registry.MustRegister(m.requests, m.firstByteSeconds, m.queueSeconds, m.resumes, m.moves, m.storeCalls, m.serverChecks, m.notices, m.listenerLimits, m.quarantined, m.configVersion, m.evacuated)
+	m.registry.MustRegister(m.requests, m.firstByteSeconds, m.queueSeconds, m.resumes, m.moves, m.storeCalls, m.serverChecks, m.notices, m.quarantined, m.configVersion, m.evacuated)
 	return m
 }
 
--- a/internal/machine/machine.go
+++ b/internal/machine/machine.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"runtime/debug"
 
 	"github.com/pimentohinge/pimentohinge/internal/headlimit"
 	"github.com/pimentohinge/pimentohinge/internal/outcome"
@@ -50,6 +51,25 @@
 	Descriptors int
 }
 
+// With returns the machine with the given memory in megabytes and descriptors in place of its own,
+// unless they are 0.
+func (m Machine) With(memoryMb, descriptors int) Machine {
+	if memoryMb > 0 {
+		m.Bytes = int64(memoryMb) << 20
+	}
+	if descriptors > 0 {
+		m.Descriptors = descriptors
+	}
+	return m
+}
+
+// gcPercent is the soft limit of the memory that the Go runtime takes, as a share of the memory of the
+// machine. Near it the garbage collector runs more often.
+const gcPercent = 70
+
+// LimitGC sets the soft memory limit of the Go runtime.
+func (m Machine) LimitGC() { debug.SetMemoryLimit(m.Bytes / 100 * gcPercent) }
+
 // BodyBytes returns the memory for request bodies, and for response bodies.
 func (m Machine) BodyBytes() int64 { return m.Bytes / bodiesDivisor }
 
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -141,9 +141,7 @@
 	}
 	config.Bounds.check(problems)
 	checkRange(problems, "memoryMb", config.MemoryMb, minMemoryMb, maxMemoryMb)
-	if config.MaxDescriptors != 0 {
-		checkRange(problems, "maxDescriptors", config.MaxDescriptors, minDescriptors, maxDescriptors)
-	}
+	checkDescriptors(problems, config.MaxDescriptors)
 	config.Log.check(problems)
 	if len(problems.list) > 0 {
 		return Gateway{}, &Problems{File: file, List: firstPerKey(problems.list)}
@@ -151,6 +149,13 @@
 	return config, nil
 }
 
+// checkDescriptors checks a number of descriptors, unless it is 0.
+func checkDescriptors(problems *problemCollector, descriptors int) {
+	if descriptors != 0 {
+		checkRange(problems, "maxDescriptors", descriptors, minDescriptors, maxDescriptors)
+	}
+}
+
 // LoadGateway reads and parses the file at path.
 func LoadGateway(path string) (Gateway, error) {
 	data, err := os.ReadFile(path)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -25,6 +25,12 @@
 	Policy Policy `json:"policy"`
 	// TLS names the certificate files; empty means no TLS.
 	TLS TLS `json:"tls"`
+	// MemoryMb is the memory available to the process in megabytes; 0 means that of the machine or of
+	// the process's control group.
+	MemoryMb int `json:"memoryMb"`
+	// MaxDescriptors is the number of descriptors available to the process; 0 means its limit on open
+	// files.
+	MaxDescriptors int `json:"maxDescriptors"`
 	// Log holds the log level.
 	Log Log `json:"log"`
 }
@@ -85,5 +91,9 @@
 	s.Operators.check(problems)
 	s.Policy.check(problems)
 	s.TLS.check(problems)
+	if s.MemoryMb != 0 {
+		checkRange(problems, "memoryMb", s.MemoryMb, minMemoryMb, maxMemoryMb)
+	}
+	checkDescriptors(problems, s.MaxDescriptors)
 	s.Log.check(problems)
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -64,6 +64,7 @@
 			"", "vm.name", "vm.region", "vm.dataCentre", "listen.callers", "listen.peers",
 			"listen.operators", "platform.address", "peers.key", "operators.keys",
 		}},
+		{"smallMachine", `"platform": {`, `"memoryMb": 8, "maxDescriptors": 100, "platform": {`, []string{"memoryMb", "maxDescriptors"}},
 		{"impossible", `"platform": {`, `"policy": {"objective": "speed", "retryPercent": 200}, "platform": {`, []string{"policy.objective", "policy.retryPercent"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -22,13 +22,16 @@
 	"github.com/pimentohinge/pimentohinge/internal/control"
 	"github.com/pimentohinge/pimentohinge/internal/control/configchain"
 	"github.com/pimentohinge/pimentohinge/internal/engine"
+	"github.com/pimentohinge/pimentohinge/internal/headlimit"
 	"github.com/pimentohinge/pimentohinge/internal/incident"
+	"github.com/pimentohinge/pimentohinge/internal/machine"
 	"github.com/pimentohinge/pimentohinge/internal/mutation"
 	"github.com/pimentohinge/pimentohinge/internal/network"
 	"github.com/pimentohinge/pimentohinge/internal/operator"
 	"github.com/pimentohinge/pimentohinge/internal/peer"
 	"github.com/pimentohinge/pimentohinge/internal/service"
 	"github.com/pimentohinge/pimentohinge/internal/settings"
+	"github.com/pimentohinge/pimentohinge/internal/sleep"
 	"github.com/pimentohinge/pimentohinge/internal/ticket"
 	"github.com/pimentohinge/pimentohinge/pkg/wire"
 	"github.com/pimentohinge/pimentohinge/platform"
@@ -40,6 +43,10 @@
 	maxTimelines       = 20_000
 	headerTimeout      = 10 * time.Second
 	maxHeaderBytes     = 32 << 10
+	// idleTimeout bounds the time between two requests on a connection.
+	idleTimeout = 2 * time.Minute
+	// limitsInterval is the interval at which the limits of the listeners are reported.
+	limitsInterval = time.Second
 	// closeCallersTimeout bounds the wait for connections of callers to become idle.
 	closeCallersTimeout = time.Second
 )
@@ -76,6 +83,8 @@
 	callers   *caller.Server
 	registry  *prometheus.Registry
 	servers   []*http.Server
+	machine   machine.Machine
+	listeners machine.Listeners
 	// callersServer is the one of servers that callers use; nil before Start.
 	callersServer *http.Server
 
@@ -113,6 +122,7 @@
 		engines:          engine.New(opts.Network),
 		incidents:        incident.New(vmSettings.VM.Name, maxTimelines),
 		registry:         prometheus.NewRegistry(),
+		machine:          Machine(vmSettings),
 		pendingPlaces:    map[string]chan placeResult{},
 		backends:         map[string]wire.Backend{},
 		polling:          map[string]bool{},
@@ -137,9 +147,15 @@
 	})
 	v.callers.Metrics().Register(v.registry)
 	v.registerMetrics()
+	v.registry.MustRegister(&v.listeners)
 	return v
 }
 
+// Machine returns what a process with the given settings may take.
+func Machine(s settings.Settings) machine.Machine {
+	return machine.Detect().With(s.MemoryMb, s.MaxDescriptors)
+}
+
 // Self returns the name, location and addresses of this VM.
 func (v *VM) Self() wire.VM { return v.self }
 
@@ -168,21 +184,17 @@
 	peers := http.NewServeMux()
 	peers.Handle(peer.Path, v.links)
 	ops := operator.New(operator.Options{Keys: v.opts.Settings.Operators.Keys, VM: v, Registry: v.registry, Log: v.log})
-	for _, endpoint := range []struct {
-		name, addr string
-		handler    http.Handler
-		wrap       func(net.Listener) (net.Listener, error)
-	}{
-		{"peers", listen.Peers, peers, func(ln net.Listener) (net.Listener, error) { return wrapPeerListener(ln, peerConfig), nil }},
-		{"operators", listen.Operators, ops.Handler(), v.wrapListener},
-		{"callers", listen.Callers, v.callers.Handler(), v.wrapListener},
+	for _, e := range []endpoint{
+		{"peers", listen.Peers, peers, v.machine.Peers(), func(ln net.Listener) (net.Listener, error) { return wrapPeerListener(ln, peerConfig), nil }},
+		{"operators", listen.Operators, ops.Handler(), v.machine.Internal(), v.wrapListener},
+		{"callers", listen.Callers, v.callers.Handler(), v.machine.Callers(), v.wrapListener},
 	} {
-		server, err := v.serve(endpoint.name, endpoint.addr, endpoint.handler, endpoint.wrap)
+		server, err := v.serve(e)
 		if err != nil {
 			v.Kill()
 			return err
 		}
-		if endpoint.name == "callers" {
+		if e.name == "callers" {
 			v.callersServer = server
 		}
 	}
@@ -191,6 +203,7 @@
 	v.spawn(v.connectToSeeds)
 	v.spawn(v.register)
 	v.spawn(v.issueOrders)
+	v.spawn(v.reportLimits)
 	v.log.Info().Str("event", "started").Str("vm", v.self.Name).Str("dataCentre", v.self.DataCentre).
 		Int("incarnation", v.incarnation).Str("callers", listen.Callers).Msg("")
 	return nil
@@ -204,22 +217,39 @@
 	return tls.NewListener(ln, config)
 }
 
-// serve opens a listener, wraps it and serves HTTP on it.
-func (v *VM) serve(name, addr string, h http.Handler, wrap func(net.Listener) (net.Listener, error)) (*http.Server, error) {
-	ln, err := v.opts.Network.Listen(addr)
+// endpoint is one of the interfaces of a VM.
+type endpoint struct {
+	name, addr string
+	handler    http.Handler
+	limits     headlimit.Options
+	// wrap adds TLS to the listener, if the settings say so.
+	wrap func(net.Listener) (net.Listener, error)
+}
+
+// serve opens the listener of an interface, wraps it and serves HTTP on it.
+func (v *VM) serve(e endpoint) (*http.Server, error) {
+	ln, err := v.opts.Network.Listen(e.addr)
 	if err != nil {
-		return nil, eris.Wrapf(err, "listen for %s at %s", name, addr)
+		return nil, eris.Wrapf(err, "listen for %s at %s", e.name, e.addr)
 	}
-	ln, err = wrap(ln)
+	ln, err = e.wrap(ln)
 	if err != nil {
 		return nil, err
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	s := &http.Server{Handler: e.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	v.servers = append(v.servers, s)
-	v.spawn(func() { _ = s.Serve(ln) })
+	limiter := v.listeners.Add(e.name, e.limits)
+	v.spawn(func() { _ = limiter.Serve(s, ln) })
 	return s, nil
 }
 
+// reportLimits logs what the limits of the listeners refuse and close.
+func (v *VM) reportLimits() {
+	for sleep.For(v.ctx, limitsInterval) {
+		v.listeners.Report(v.log)
+	}
+}
+
 // wrapListener wraps a listener in TLS if the settings name a certificate.
 func (v *VM) wrapListener(ln net.Listener) (net.Listener, error) {
 	if v.opts.Settings.TLS.Certificate == "" {
--- a/test/headflood/crowd_test.go
+++ b/test/headflood/crowd_test.go
@@ -19,6 +19,8 @@
 const (
 	// crowdTimeout bounds how long a member of a crowd waits for a connection, to write and to read.
 	crowdTimeout = 5 * time.Second
+	// settleTime is the time in which a process accepts the connections of a crowd.
+	settleTime = 500 * time.Millisecond
 )
 
 // crowdPlan says what the members of a crowd do. Each opens a connection, writes, and reads until the
@@ -65,6 +67,10 @@
 		})
 	}
 	first.Wait()
+	if p.unread {
+		// The process has accepted what it accepts.
+		time.Sleep(settleTime)
+	}
 	return r
 }
 
