caller: request bodies of serve have a budget and deadlines

What callers saw: callers with long bodies ended the process of serve, and callers who announced a body and did not send it kept all others out until it ended.

Cause: one body was limited to 1 MiB, all of them were not, nor the time in which they arrive. Decoding multiplied them: a body of 1 MiB with 350,000 empty messages took 8 MB and more before the first of them was found to be invalid, and text in many parts was copied once for each part. http.Server waits without a deadline for the rest of the body of a refused request.

Change: bodies take one sixth of the memory, 16 times their length while they are decoded and twice the prompt after that; beyond that 503 vmFull, not run. A single body is always decoded. Messages, parts and prompts are decoded one by one, up to the first that is invalid. Release notes and requests at the peers' listener have 5 s. On machines of less than 1 GiB callers' connections have small receive buffers, as in the gateway.

Evidence: test/headflood TestCrowdsAtServe, 400 connections, VM of 64 MB.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -20,6 +20,7 @@
 	"github.com/pimentohinge/pimentohinge/internal/engine"
 	"github.com/pimentohinge/pimentohinge/internal/incident"
 	"github.com/pimentohinge/pimentohinge/internal/outcome"
+	"github.com/pimentohinge/pimentohinge/internal/readlimit"
 	"github.com/pimentohinge/pimentohinge/internal/service"
 	"github.com/pimentohinge/pimentohinge/internal/settings"
 	"github.com/pimentohinge/pimentohinge/internal/signedtoken"
@@ -59,6 +60,8 @@
 	VM string
 	// Limits holds the size limits and timeouts for requests.
 	Limits settings.Callers
+	// Bodies is the memory for request bodies.
+	Bodies *readlimit.Budget
 	// Secret is the key shared by all entry VMs; it signs resume tokens.
 	Secret string
 	// Broker connects to the control loop and to other VMs.
@@ -163,8 +166,9 @@
 	timeline  *incident.Timeline
 	model     modelRequest
 	plain     plainCall
-	started   bool            // the response header was sent
-	detached  *detachedWriter // set when the stream continues after its handler has returned
+	memory    *readlimit.Reservation // of the body; nil if none was read
+	started   bool                   // the response header was sent
+	detached  *detachedWriter        // set when the stream continues after its handler has returned
 }
 
 const requestIDBytes = 10
@@ -192,6 +196,9 @@
 			}
 		}
 		if req.detached == nil {
+			if o.Cause != outcome.None {
+				req.boundUnreadBody()
+			}
 			s.finishRequest(req, o)
 			s.openRequests.done()
 		}
@@ -201,6 +208,7 @@
 // finishRequest writes an error response if nothing was sent yet, and records the
 // outcome in the metrics, the timeline and the log.
 func (s *Server) finishRequest(req *request, o outcome.Result) {
+	defer req.memory.Release()
 	if o.Cause != outcome.None && !req.started {
 		writeProblem(req.w, req.id, o)
 	}
--- a/internal/caller/filters.go
+++ b/internal/caller/filters.go
@@ -1,9 +1,9 @@
 package caller
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
-	"io"
 	"mime"
 	"net/http"
 	"slices"
@@ -114,6 +114,10 @@
 	hashedPrefixBytes = 256
 	// maxSegments limits the parts of a prompt that are tracked.
 	maxSegments = 32
+	// decodeFactor is the memory that decoding a body takes, as a multiple of its length, and
+	// promptCopies the copies of a prompt that are kept until the request ends.
+	decodeFactor = 16
+	promptCopies = 2
 )
 
 // decodeModel decodes a completion or chat request and determines its service.
@@ -124,7 +128,7 @@
 type modelBody struct {
 	Model               string          `json:"model"`
 	Prompt              json.RawMessage `json:"prompt"`
-	Messages            []message       `json:"messages"`
+	Messages            json.RawMessage `json:"messages"`
 	MaxTokens           *int            `json:"max_tokens"`
 	MaxCompletionTokens *int            `json:"max_completion_tokens"`
 	Stream              bool            `json:"stream"`
@@ -148,7 +152,7 @@
 	if o, ok := findModel(req, body.Model); !ok {
 		return o, false
 	}
-	prompt, reason := buildPrompt(req.format, body)
+	prompt, messages, reason := buildPrompt(req.format, body)
 	if reason != "" {
 		return outcome.Refuse(outcome.BadRequest, reason), false
 	}
@@ -167,11 +171,12 @@
 	req.model = modelRequest{
 		prompt: prompt, promptTokens: len(prompt)/bytesPerToken + 1, maxTokens: maxTokens,
 		stream: body.Stream, includeUsage: body.StreamOptions.IncludeUsage, class: control.ClassInteractive,
-		segments: segments(prompt, body.Messages),
+		segments: segments(prompt, messages),
 	}
 	if body.ServiceTier == "flex" {
 		req.model.class = control.ClassBatch
 	}
+	req.memory.Keep(promptCopies * int64(len(prompt)))
 	req.timeline = f.s.opts.Incidents.Start(req.id, req.workspace.Name, req.service.Name)
 	req.timeline.SetRevision(req.state.Number)
 	return outcome.Result{}, true
@@ -211,24 +216,15 @@
 	if !ok {
 		return o, false
 	}
+	if !req.memory.AddOrAlone(decodeFactor * int64(len(body))) {
+		return refuseFull(req), false
+	}
 	if err := json.Unmarshal(body, v); err != nil {
 		return outcome.Refuse(outcome.BadRequest, "body: "+err.Error()), false
 	}
 	return outcome.Result{}, true
 }
 
-func (s *Server) readBody(req *request) ([]byte, outcome.Result, bool) {
-	body, err := io.ReadAll(http.MaxBytesReader(req.w, req.r.Body, int64(s.opts.Limits.BodyBytes)))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, outcome.Refuse(outcome.TooLarge, err.Error()), false
-	}
-	if err != nil {
-		return nil, outcome.Refuse(outcome.BadRequest, "body: "+err.Error()), false
-	}
-	return body, outcome.Result{}, true
-}
-
 // findModel sets the service of the request. model is the name of a service or
 // of the model that it serves.
 func findModel(req *request, model string) (outcome.Result, bool) {
@@ -261,54 +257,101 @@
 	return outcome.Refuse(outcome.Forbidden, "service "+svc.Name), false
 }
 
-// buildPrompt returns the prompt, or the concatenated messages of a chat. A
-// non-empty reason explains why the request is invalid.
-func buildPrompt(f responseFormat, body modelBody) (prompt, reason string) {
+// buildPrompt returns the prompt, or the concatenated messages of a chat and those that are tracked.
+// A non-empty reason explains why the request is invalid.
+func buildPrompt(f responseFormat, body modelBody) (prompt string, messages []message, reason string) {
 	if f == formatChat {
 		return chatPrompt(body.Messages)
 	}
 	if json.Unmarshal(body.Prompt, &prompt) == nil && prompt != "" {
-		return prompt, ""
+		return prompt, nil, ""
 	}
-	var list []string
-	if json.Unmarshal(body.Prompt, &list) == nil && len(list) == 1 && list[0] != "" {
-		return list[0], ""
+	n := 0
+	err := forEachElement(body.Prompt, func(d *json.Decoder) error {
+		if n++; n > 1 {
+			return errInvalidElement
+		}
+		return d.Decode(&prompt)
+	})
+	if err != nil || prompt == "" {
+		return "", nil, "prompt must be one string that is not empty"
 	}
-	return "", "prompt must be one string that is not empty"
+	return prompt, nil, ""
 }
 
-func chatPrompt(messages []message) (prompt, reason string) {
-	if len(messages) == 0 {
-		return "", "messages must not be empty"
+// noMessages is the reason why a chat without messages is refused.
+const noMessages = "messages must not be empty"
+
+func chatPrompt(raw json.RawMessage) (prompt string, tracked []message, reason string) {
+	if len(raw) == 0 || string(raw) == "null" {
+		return "", nil, noMessages
 	}
 	var text strings.Builder
-	for _, m := range messages {
-		content, ok := textContent(m.Content)
-		if m.Role == "" || !ok {
-			return "", "each message needs a role and text content"
+	n := 0
+	err := forEachElement(raw, func(d *json.Decoder) error {
+		var m message
+		if err := d.Decode(&m); err != nil {
+			return err
+		}
+		if n++; n <= maxSegments {
+			tracked = append(tracked, m)
+		}
+		if m.Role == "" {
+			return errInvalidElement
 		}
-		text.WriteString(m.Role + ": " + content + "\n")
+		text.WriteString(m.Role + ": ")
+		if err := writeContent(&text, m.Content); err != nil {
+			return err
+		}
+		text.WriteByte('\n')
+		return nil
+	})
+	switch {
+	case err != nil:
+		return "", nil, "each message needs a role and text content"
+	case n == 0:
+		return "", nil, noMessages
 	}
-	return text.String(), ""
+	return text.String(), tracked, ""
 }
 
-func textContent(raw json.RawMessage) (string, bool) {
-	var text string
-	if json.Unmarshal(raw, &text) == nil {
-		return text, true
-	}
-	var parts []struct {
-		Type string `json:"type"`
-		Text string `json:"text"`
-	}
-	if json.Unmarshal(raw, &parts) != nil {
-		return "", false
-	}
-	for _, part := range parts {
+// writeContent appends the text of a message.
+func writeContent(text *strings.Builder, raw json.RawMessage) error {
+	var whole string
+	if json.Unmarshal(raw, &whole) == nil {
+		text.WriteString(whole)
+		return nil
+	}
+	return forEachElement(raw, func(d *json.Decoder) error {
+		var part struct {
+			Type string `json:"type"`
+			Text string `json:"text"`
+		}
+		if err := d.Decode(&part); err != nil {
+			return err
+		}
 		if part.Type != "text" {
-			return "", false
+			return errInvalidElement
+		}
+		text.WriteString(part.Text)
+		return nil
+	})
+}
+
+// errInvalidElement ends forEachElement at an element that is not accepted.
+var errInvalidElement = errors.New("invalid element")
+
+// forEachElement calls f for each element of a JSON array until it returns an error. An array of
+// millions of invalid elements takes no more memory than its text.
+func forEachElement(raw json.RawMessage, f func(*json.Decoder) error) error {
+	d := json.NewDecoder(bytes.NewReader(raw))
+	if start, err := d.Token(); err != nil || start != json.Delim('[') {
+		return errInvalidElement
+	}
+	for d.More() {
+		if err := f(d); err != nil {
+			return err
 		}
-		text += part.Text
 	}
-	return text, true
+	return nil
 }
--- a/internal/ingress/listeners.go
+++ b/internal/ingress/listeners.go
@@ -16,9 +16,6 @@
 
 const (
 	metricsPath = "/metrics"
-	// callerReadBuffer is the size of the receive buffer of a caller's connection. What it holds counts
-	// as memory of the process.
-	callerReadBuffer = 16 << 10
 	// internalReadTimeout, internalWriteTimeout and internalIdleTimeout bound reading a request on the
 	// readiness, peer and metrics listeners, the time from its head to the end of the response, and the
 	// time between two requests.
@@ -64,7 +61,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen for callers at %s", addresses.Callers)
 	}
-	if err := network.SetReadBuffer(callers, callerReadBuffer); err != nil {
+	if err := network.SetReadBuffer(callers, s.machine.ReadBuffer()); err != nil {
 		s.log.Warn().Str("event", "readBuffer").Str("reason", err.Error()).Msg("")
 	}
 	return callers, nil
--- a/internal/machine/machine.go
+++ b/internal/machine/machine.go
@@ -40,6 +40,13 @@
 	minConns = 8
 )
 
+const (
+	// smallMachine is the memory below which the receive buffers of callers' connections are small:
+	// what they hold counts, and the system's own limit on all of them together is too high.
+	smallMachine    = 1 << 30
+	smallReadBuffer = 16 << 10
+)
+
 // retryAfterS is the advised delay in seconds after a head was refused.
 const retryAfterS = 1
 
@@ -73,6 +80,14 @@
 // BodyBytes returns the memory for request bodies, and for response bodies.
 func (m Machine) BodyBytes() int64 { return m.Bytes / bodiesDivisor }
 
+// ReadBuffer returns the size of the receive buffers of callers' connections; 0 means the system's.
+func (m Machine) ReadBuffer() int {
+	if m.Bytes < smallMachine {
+		return smallReadBuffer
+	}
+	return 0
+}
+
 // Callers returns the limits of the listener for callers.
 func (m Machine) Callers() headlimit.Options {
 	return headlimit.Options{
--- a/internal/network/network.go
+++ b/internal/network/network.go
@@ -66,10 +66,10 @@
 }
 
 // SetReadBuffer sets the size in bytes of the buffers in which the connections of a listener receive
-// what has not been read. Other listeners than those of TCP have no such buffers.
+// what has not been read; 0 leaves them as they are. Only listeners of TCP have such buffers.
 func SetReadBuffer(ln net.Listener, bytes int) error {
 	socket, ok := ln.(syscall.Conn)
-	if !ok {
+	if !ok || bytes == 0 {
 		return nil
 	}
 	raw, err := socket.SyscallConn()
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -25,8 +25,10 @@
 
 const (
 	maxReleaseNoteBytes = 1 << 20
-	defaultIncidents    = 20
-	maxIncidents        = 1000
+	// bodyTimeout bounds reading a release note.
+	bodyTimeout      = 5 * time.Second
+	defaultIncidents = 20
+	maxIncidents     = 1000
 )
 
 // ReleaseStatus is the result of submitting a release note.
@@ -106,6 +108,7 @@
 // key.
 func (s *Server) Handler() http.Handler {
 	r := chi.NewRouter()
+	r.Use(boundBody)
 	r.Get("/livez", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("alive\n")) })
 	r.Get("/readyz", s.ready)
 	r.Handle("/metrics", promhttp.HandlerFor(s.opts.Registry, promhttp.HandlerOpts{}))
@@ -149,6 +152,17 @@
 	_, _ = w.Write([]byte("ready\n"))
 }
 
+// boundBody bounds reading the body of a request. The handler that reads it removes the deadline, which
+// would end the context of the request.
+func boundBody(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Body != nil && r.Body != http.NoBody {
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 type operatorNameKey struct{}
 
 // authenticate accepts requests that carry an operator's key, either as a bearer
@@ -179,6 +193,7 @@
 		writeError(w, http.StatusBadRequest, err.Error())
 		return
 	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	note.Author, _ = r.Context().Value(operatorNameKey{}).(string)
 	result := s.opts.VM.Release(r.Context(), note)
 	writeJSON(w, releaseHTTPStatus[result.Status], result)
--- a/internal/readlimit/readlimit.go
+++ b/internal/readlimit/readlimit.go
@@ -80,6 +80,25 @@
 	return true
 }
 
+// AddOrAlone is Add, but does not fail while nothing else is reserved, so that a single large body is
+// handled.
+func (r *Reservation) AddOrAlone(n int64) bool {
+	if used := r.budget.used.Add(n); used > r.budget.limit && used > r.bytes+n {
+		r.budget.used.Add(-n)
+		return false
+	}
+	r.bytes += n
+	return true
+}
+
+// Keep frees all but n bytes of the reservation.
+func (r *Reservation) Keep(n int64) {
+	if n < r.bytes {
+		r.budget.used.Add(n - r.bytes)
+		r.bytes = n
+	}
+}
+
 // Release frees the reservation. r may be nil, and Release may be called again.
 func (r *Reservation) Release() {
 	if r != nil {
--- a/internal/readlimit/readlimit_test.go
+++ b/internal/readlimit/readlimit_test.go
@@ -105,3 +105,24 @@
 		t.Errorf("%d bytes reserved for a body of at most %d", budget.Used(), 64<<10)
 	}
 }
+
+// TestSingleReservationMayExceedTheBudget reserves more than the budget while nothing else is reserved.
+func TestSingleReservationMayExceedTheBudget(t *testing.T) {
+	budget := readlimit.New(100)
+	first, second := budget.Reserve(), budget.Reserve()
+	if !first.AddOrAlone(300) {
+		t.Error("the only reservation failed")
+	}
+	if second.AddOrAlone(1) {
+		t.Error("a second reservation exceeded the budget")
+	}
+	first.Keep(60)
+	if !second.AddOrAlone(40) || second.AddOrAlone(1) {
+		t.Errorf("%d bytes are reserved", budget.Used())
+	}
+	first.Release()
+	second.Release()
+	if budget.Used() != 0 {
+		t.Errorf("%d bytes are left", budget.Used())
+	}
+}
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -29,6 +29,7 @@
 	"github.com/pimentohinge/pimentohinge/internal/network"
 	"github.com/pimentohinge/pimentohinge/internal/operator"
 	"github.com/pimentohinge/pimentohinge/internal/peer"
+	"github.com/pimentohinge/pimentohinge/internal/readlimit"
 	"github.com/pimentohinge/pimentohinge/internal/service"
 	"github.com/pimentohinge/pimentohinge/internal/settings"
 	"github.com/pimentohinge/pimentohinge/internal/sleep"
@@ -43,6 +44,10 @@
 	maxTimelines       = 20_000
 	headerTimeout      = 10 * time.Second
 	maxHeaderBytes     = 32 << 10
+	// peersTimeout bounds requests of other VMs that do not open a link, and operatorsWriteTimeout the
+	// time until an operator's response is written.
+	peersTimeout          = 5 * time.Second
+	operatorsWriteTimeout = 2 * time.Minute
 	// idleTimeout bounds the time between two requests on a connection.
 	idleTimeout = 2 * time.Minute
 	// limitsInterval is the interval at which the limits of the listeners are reported.
@@ -141,6 +146,7 @@
 	v.claims = claim.New(v.platform, vmSettings.VM.Name, v.incarnation, v.isRunning)
 	v.callers = caller.New(caller.Options{
 		VM: vmSettings.VM.Name, Limits: vmSettings.Callers, Secret: vmSettings.Peers.Key, Broker: v, Engines: v.engines,
+		Bodies:   readlimit.New(v.machine.BodyBytes()),
 		Services: service.New(client), Claims: v.claims,
 		Tickets:   ticket.New(vmSettings.Peers.Key, vmSettings.VM.Name, v.incarnation),
 		Incidents: v.incidents, Log: opts.Log,
@@ -185,9 +191,18 @@
 	peers.Handle(peer.Path, v.links)
 	ops := operator.New(operator.Options{Keys: v.opts.Settings.Operators.Keys, VM: v, Registry: v.registry, Log: v.log})
 	for _, e := range []endpoint{
-		{"peers", listen.Peers, peers, v.machine.Peers(), func(ln net.Listener) (net.Listener, error) { return wrapPeerListener(ln, peerConfig), nil }},
-		{"operators", listen.Operators, ops.Handler(), v.machine.Internal(), v.wrapListener},
-		{"callers", listen.Callers, v.callers.Handler(), v.machine.Callers(), v.wrapListener},
+		{
+			name: "peers", addr: listen.Peers, handler: peers, limits: v.machine.Peers(), readTimeout: peersTimeout, writeTimeout: peersTimeout,
+			wrap: func(ln net.Listener) (net.Listener, error) { return wrapPeerListener(ln, peerConfig), nil },
+		},
+		{
+			name: "operators", addr: listen.Operators, handler: ops.Handler(), limits: v.machine.Internal(), writeTimeout: operatorsWriteTimeout,
+			wrap: v.wrapListener,
+		},
+		{
+			name: "callers", addr: listen.Callers, handler: v.callers.Handler(), limits: v.machine.Callers(), readBuffer: v.machine.ReadBuffer(),
+			wrap: v.wrapListener,
+		},
 	} {
 		server, err := v.serve(e)
 		if err != nil {
@@ -222,6 +237,11 @@
 	name, addr string
 	handler    http.Handler
 	limits     headlimit.Options
+	// readTimeout bounds reading a whole request, and writeTimeout the time from its head to the end
+	// of the response; 0 means that the handler does. They do not hold for links between VMs.
+	readTimeout, writeTimeout time.Duration
+	// readBuffer is the size of the receive buffers; 0 means the system's.
+	readBuffer int
 	// wrap adds TLS to the listener, if the settings say so.
 	wrap func(net.Listener) (net.Listener, error)
 }
@@ -232,11 +252,17 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen for %s at %s", e.name, e.addr)
 	}
+	if err := network.SetReadBuffer(ln, e.readBuffer); err != nil {
+		v.log.Warn().Str("event", "readBuffer").Str("reason", err.Error()).Msg("")
+	}
 	ln, err = e.wrap(ln)
 	if err != nil {
 		return nil, err
 	}
-	s := &http.Server{Handler: e.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	s := &http.Server{
+		Handler: e.handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: e.readTimeout, WriteTimeout: e.writeTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes,
+	}
 	v.servers = append(v.servers, s)
 	limiter := v.listeners.Add(e.name, e.limits)
 	v.spawn(func() { _ = limiter.Serve(s, ln) })
--- a/test/headflood/serve_test.go
+++ b/test/headflood/serve_test.go
@@ -9,6 +9,7 @@
 	"crypto/x509"
 	"encoding/json"
 	"encoding/pem"
+	"fmt"
 	"io"
 	"math/big"
 	"net"
@@ -166,6 +167,21 @@
 	return err
 }
 
+// heldServeBody writes a request with the longest body without its last byte.
+func heldServeBody(conn net.Conn, _, _ int) error {
+	_, err := io.WriteString(conn, fmt.Sprintf("POST /services/tags/entries HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
+		workspaceKey, bodyBytes, strings.Repeat("x", bodyBytes-1)))
+	return err
+}
+
+// manyMessages writes a chat request with as many messages as fit into the longest body.
+func manyMessages(conn net.Conn, _, _ int) error {
+	body := `{"model":"x","messages":[{}` + strings.Repeat(",{}", (bodyBytes-64)/len(",{}")) + "]}"
+	_, err := io.WriteString(conn, fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
+		workspaceKey, len(body), body))
+	return err
+}
+
 // TestCrowdsAtServe guards against clients that take a process of the serve command beyond the memory
 // or the descriptors of its machine.
 func TestCrowdsAtServe(t *testing.T) {
@@ -179,6 +195,11 @@
 		{"operators", maxDescriptors, crowdPlan{addr: serveOperators, size: crowdSize, rounds: crowdRounds, write: heldServeHead}},
 		{"peers", maxDescriptors, crowdPlan{addr: servePeers, size: crowdSize, rounds: crowdRounds, write: heldServeHead}},
 		{"peersHello", maxDescriptors, crowdPlan{addr: servePeers, size: helloCrowd, rounds: crowdRounds, write: heldHello}},
+		{"bodies", manyDescriptors, crowdPlan{addr: serveCallers, size: crowdSize, rounds: 1, write: heldServeBody}},
+		{"messages", manyDescriptors, crowdPlan{addr: serveCallers, size: crowdSize, rounds: 1, write: manyMessages}},
+		{"bodiesThatDoNotCome", maxDescriptors, crowdPlan{addr: serveCallers, size: crowdSize, rounds: 1, unread: true, write: announceBody("POST /services/tags/entries", "Authorization: Bearer "+workspaceKey+"\r\n")}},
+		{"refusedBodies", maxDescriptors, crowdPlan{addr: serveCallers, size: crowdSize, rounds: 1, unread: true, write: announceBody("POST /services/tags/entries", "")}},
+		{"operatorsBodies", maxDescriptors, crowdPlan{addr: serveOperators, size: crowdSize, rounds: 1, unread: true, write: announceBody("POST /v1/releases", "")}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			v := startServe(t, program, nil, c.descriptors)
