service, caller: responses of serve take memory until they are written

What callers saw: callers who asked a plain service for long responses and did not read them ended the process of serve.

Cause: the memory for responses, 64 MiB on any machine, was free again as soon as a response was read from the service; writing it to the caller had no deadline. What the kernel had received on connections to services came on top.

Change: responses take one sixth of the memory until they are written. On machines of less than 1 GiB connections to backend servers have small receive buffers. The soft limit of the Go runtime leaves 16 MiB for the program itself: with 70 % of a VM of 64 MB for the heap, any flow of garbage came to within 4 MB of the machine's memory.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -210,6 +210,7 @@
 func (s *Server) finishRequest(req *request, o outcome.Result) {
 	defer req.memory.Release()
 	if o.Cause != outcome.None && !req.started {
+		req.boundWrite()
 		writeProblem(req.w, req.id, o)
 	}
 	s.metrics.recordEnd(req.service.Name, o, time.Since(req.received))
--- a/internal/caller/filters.go
+++ b/internal/caller/filters.go
@@ -78,10 +78,14 @@
 }
 
 func writeJSON(req *request, status int, v any) (outcome.Result, bool) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		panic("caller: response does not marshal: " + err.Error())
+	}
 	req.w.Header().Set("Content-Type", "application/json")
 	req.w.WriteHeader(status)
 	req.started = true
-	_ = json.NewEncoder(req.w).Encode(v)
+	req.write(append(body, '\n'))
 	return outcome.Done(0), false
 }
 
--- a/internal/caller/plain.go
+++ b/internal/caller/plain.go
@@ -5,6 +5,7 @@
 	"encoding/base64"
 	"net/http"
 	"path"
+	"slices"
 	"strings"
 	"time"
 
@@ -170,6 +171,8 @@
 // settleClaim records the outcome of a claimed call in the background. It waits
 // at most settleWait, so that a repeated request usually finds the response.
 func (s *Server) settleClaim(record claim.Record, response service.Response, o outcome.Result) {
+	// The memory of the response may be released while the claim is being settled.
+	body := slices.Clone(response.Body[:min(len(response.Body), claim.MaxResponseBytes+1)])
 	done := make(chan struct{})
 	s.openRequests.add()
 	go func() {
@@ -179,7 +182,7 @@
 		defer cancel()
 		switch o.Kind {
 		case outcome.Finished:
-			s.opts.Claims.Finish(ctx, record, response.Status, response.ContentType, response.Body)
+			s.opts.Claims.Finish(ctx, record, response.Status, response.ContentType, body)
 		case outcome.NotRun:
 			s.opts.Claims.Release(ctx, record)
 		default:
@@ -293,6 +296,7 @@
 	if permitted {
 		timeline := s.opts.Incidents.Start(forwarded.Id, forwarded.Workspace, forwarded.Service)
 		response, o = s.runPlain(ctx, forwarded.Id, call, timeline)
+		defer response.Release()
 		s.opts.Incidents.Finish(timeline, o)
 	}
 	answer.Status, answer.ContentType, answer.Body = response.Status, response.ContentType, base64.StdEncoding.EncodeToString(response.Body)
@@ -310,6 +314,7 @@
 		ctx = context.WithoutCancel(ctx)
 	}
 	response, o := f.s.runPlain(ctx, req.id, req.plain, req.timeline)
+	defer response.Release()
 	if o.Kind != outcome.Finished {
 		return o, false
 	}
@@ -322,7 +327,7 @@
 	}
 	req.started = true
 	req.w.WriteHeader(response.Status)
-	_, _ = req.w.Write(response.Body)
+	req.write(response.Body)
 	return outcome.Done(0), false
 }
 
@@ -361,6 +366,7 @@
 		if !retry {
 			return response, markUnknownIfRan(mayHaveRun && o.Kind != outcome.Finished, o)
 		}
+		response.Release()
 		timeline.Add(wire.Event{Kind: incident.EventRestarted, Engine: placed.Backend.Name, Cause: string(o.Cause)})
 		place.Retry = true
 		place.Excluded = append(place.Excluded, placed.Backend.Name)
--- a/internal/machine/machine.go
+++ b/internal/machine/machine.go
@@ -70,12 +70,19 @@
 	return m
 }
 
-// gcPercent is the soft limit of the memory that the Go runtime takes, as a share of the memory of the
-// machine. Near it the garbage collector runs more often.
-const gcPercent = 70
+const (
+	// programBytes is the resident memory of the program without its heap. gcPercent is the soft limit
+	// of what the Go runtime takes, as a share of the rest of the memory; near it the garbage collector
+	// runs more often. The runtime gets 1/minGCDivisor of the memory at least.
+	programBytes = 16 << 20
+	gcPercent    = 70
+	minGCDivisor = 4
+)
 
 // LimitGC sets the soft memory limit of the Go runtime.
-func (m Machine) LimitGC() { debug.SetMemoryLimit(m.Bytes / 100 * gcPercent) }
+func (m Machine) LimitGC() {
+	debug.SetMemoryLimit(max(m.Bytes/minGCDivisor, (m.Bytes-programBytes)/100*gcPercent))
+}
 
 // BodyBytes returns the memory for request bodies, and for response bodies.
 func (m Machine) BodyBytes() int64 { return m.Bytes / bodiesDivisor }
--- a/internal/network/network.go
+++ b/internal/network/network.go
@@ -84,3 +84,27 @@
 	}
 	return optionErr
 }
+
+// WithReadBuffer returns a network whose opened connections have receive buffers of the given size in
+// bytes; 0 leaves them as they are.
+func WithReadBuffer(n Network, bytes int) Network {
+	if bytes == 0 {
+		return n
+	}
+	return readBuffered{n, bytes}
+}
+
+// readBuffered sets the receive buffers of the connections that it opens.
+type readBuffered struct {
+	Network
+	bytes int
+}
+
+func (n readBuffered) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	conn, err := n.Network.Dial(ctx, addr)
+	if socket, ok := conn.(interface{ SetReadBuffer(bytes int) error }); ok && err == nil {
+		// A connection that keeps its buffer works too.
+		_ = socket.SetReadBuffer(n.bytes)
+	}
+	return conn, err
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -21,8 +21,6 @@
 const (
 	// MaxResponseBytes is the longest body of a response. A longer one is not delivered.
 	MaxResponseBytes = 16 << 20
-	// maxBufferedBytes limits the bodies that are being read at the same time.
-	maxBufferedBytes = 64 << 20
 	// maxStatus is the largest status of a response.
 	maxStatus = 599
 )
@@ -56,22 +54,28 @@
 	ContentType string
 	// Body is the complete body.
 	Body []byte
+
+	memory *readlimit.Reservation
 }
 
+// Release frees the memory that is reserved for the body. It may be called again.
+func (r Response) Release() { r.memory.Release() }
+
 // Client calls plain services. It is safe for concurrent use.
 type Client struct {
 	http   *http.Client
 	bodies *readlimit.Budget
 }
 
-// New returns a client that sends its requests through h.
-func New(h *http.Client) *Client {
-	return &Client{http: h, bodies: readlimit.New(maxBufferedBytes)}
+// New returns a client that sends its requests through h. All bodies that have not been released
+// together take at most memory bytes.
+func New(h *http.Client, memory int64) *Client {
+	return &Client{http: h, bodies: readlimit.New(memory)}
 }
 
 // Do makes one attempt at a call. The Kind of the result is Finished when there is
 // a response, NotRun when no connection was obtained and so no byte was sent, and
-// otherwise Unknown.
+// otherwise Unknown. The caller must release the response.
 func (c *Client) Do(ctx context.Context, call Call) (Response, outcome.Result) {
 	ctx, cancel := context.WithTimeout(ctx, Timeout)
 	defer cancel()
@@ -111,19 +115,21 @@
 		return Response{}, outcome.Result{Kind: outcome.Unknown, Cause: outcome.BrokenResponse, Detail: "status " + resp.Status}
 	}
 	memory := c.bodies.Reserve()
-	defer memory.Release()
 	length := resp.ContentLength
 	if call.Method == http.MethodHead {
 		length = 0
 	}
 	body, err := memory.ReadAll(resp.Body, length, MaxResponseBytes)
+	if err != nil {
+		memory.Release()
+	}
 	if errors.Is(err, readlimit.ErrBodyTooLong) || errors.Is(err, readlimit.ErrBudgetExhausted) {
 		return Response{}, outcome.Result{Kind: outcome.Unknown, Cause: outcome.BrokenResponse, Detail: err.Error()}
 	}
 	if err != nil {
 		return Response{}, failureOutcome(true, err)
 	}
-	return Response{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, outcome.Done(0)
+	return Response{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body, memory: memory}, outcome.Done(0)
 }
 
 func failureOutcome(connected bool, err error) outcome.Result {
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -14,6 +14,9 @@
 	"github.com/pimentohinge/pimentohinge/internal/service"
 )
 
+// maxMemory is the memory for responses.
+const maxMemory = 64 << 20
+
 // startBackend serves each connection with a function of the test and returns the
 // address.
 func startBackend(t *testing.T, handle func(c net.Conn, r *bufio.Reader)) string {
@@ -63,7 +66,7 @@
 			previous = next
 		}
 	})
-	client := service.New(network.Client(network.TCP{}))
+	client := service.New(network.Client(network.TCP{}), maxMemory)
 	for _, path := range []string{"/a", "/b", "/c"} {
 		if got, result := do(t, client, address, path); result.Kind != outcome.Finished || string(got.Body) != "of "+path {
 			t.Errorf("%s got %q, %+v", path, got.Body, result)
@@ -92,7 +95,7 @@
 					_, _ = io.Copy(conn, strings.NewReader(strings.Repeat(c.repeated, c.repeats)))
 				}
 			})
-			got, result := do(t, service.New(network.Client(network.TCP{})), address, "/a")
+			got, result := do(t, service.New(network.Client(network.TCP{}), maxMemory), address, "/a")
 			if result.Kind != c.kind || result.Cause != c.cause {
 				t.Errorf("got %d bytes, %+v, want %s, %q", len(got.Body), result, c.kind, c.cause)
 			}
@@ -107,7 +110,7 @@
 // response. The call may have run, and has no response.
 func TestResponseThatStopsInItsHeader(t *testing.T) {
 	header := strings.TrimSuffix(response(""), "0\r\n\r\n") + "12\r\nConnection: close\r\n\r\n"
-	client := service.New(network.Client(network.TCP{}))
+	client := service.New(network.Client(network.TCP{}), maxMemory)
 	for end := range len(header) {
 		address := startBackend(t, func(c net.Conn, r *bufio.Reader) {
 			if _, err := http.ReadRequest(r); err == nil {
@@ -128,9 +131,31 @@
 				_, _ = io.WriteString(c, "HTTP/1.1 "+status+" None\r\nContent-Length: 2\r\n\r\nok")
 			}
 		})
-		resp, result := do(t, service.New(network.Client(network.TCP{})), address, "/x")
+		resp, result := do(t, service.New(network.Client(network.TCP{}), maxMemory), address, "/x")
 		if result.Kind != outcome.Unknown || result.Cause != outcome.BrokenResponse || resp.Status != 0 {
 			t.Errorf("status %s: %+v, %+v", status, resp, result)
 		}
 	}
 }
+
+// TestResponsesTakeMemoryUntilTheyAreReleased reads a response while another one takes the memory.
+func TestResponsesTakeMemoryUntilTheyAreReleased(t *testing.T) {
+	const length = 20_000
+	address := startBackend(t, func(c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err == nil {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", length, strings.Repeat("x", length))
+		}
+	})
+	client := service.New(network.Client(network.TCP{}), 3*length/2)
+	first, result := do(t, client, address, "/a")
+	if result.Kind != outcome.Finished || len(first.Body) != length {
+		t.Fatalf("first: %d bytes, %+v", len(first.Body), result)
+	}
+	if second, result := do(t, client, address, "/a"); result.Kind != outcome.Unknown {
+		t.Errorf("second: %d bytes, %+v", len(second.Body), result)
+	}
+	first.Release()
+	if third, result := do(t, client, address, "/a"); result.Kind != outcome.Finished {
+		t.Errorf("third: %d bytes, %+v", len(third.Body), result)
+	}
+}
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -114,7 +114,9 @@
 func New(opts Options) *VM {
 	vmSettings := opts.Settings
 	ctx, cancel := context.WithCancel(context.Background())
+	vmMachine := Machine(vmSettings)
 	client := network.Client(opts.Network)
+	backends := network.WithReadBuffer(opts.Network, vmMachine.ReadBuffer())
 	v := &VM{
 		opts: opts, log: opts.Log, ctx: ctx, cancel: cancel,
 		self: wire.VM{
@@ -124,10 +126,10 @@
 		incarnation:      int(time.Now().UnixMilli()),
 		messages:         make(chan control.Message, messageQueueLength),
 		platform:         platform.New(vmSettings.Platform.Address, client),
-		engines:          engine.New(opts.Network),
+		engines:          engine.New(backends),
 		incidents:        incident.New(vmSettings.VM.Name, maxTimelines),
 		registry:         prometheus.NewRegistry(),
-		machine:          Machine(vmSettings),
+		machine:          vmMachine,
 		pendingPlaces:    map[string]chan placeResult{},
 		backends:         map[string]wire.Backend{},
 		polling:          map[string]bool{},
@@ -147,7 +149,7 @@
 	v.callers = caller.New(caller.Options{
 		VM: vmSettings.VM.Name, Limits: vmSettings.Callers, Secret: vmSettings.Peers.Key, Broker: v, Engines: v.engines,
 		Bodies:   readlimit.New(v.machine.BodyBytes()),
-		Services: service.New(client), Claims: v.claims,
+		Services: service.New(network.Client(backends), v.machine.BodyBytes()), Claims: v.claims,
 		Tickets:   ticket.New(vmSettings.Peers.Key, vmSettings.VM.Name, v.incarnation),
 		Incidents: v.incidents, Log: opts.Log,
 	})
--- a/test/headflood/serve_test.go
+++ b/test/headflood/serve_test.go
@@ -182,6 +182,12 @@
 	return err
 }
 
+// unreadResponses asks for long responses.
+func unreadResponses(conn net.Conn, _, _ int) error {
+	_, err := io.WriteString(conn, "GET /services/tags/large HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer "+workspaceKey+"\r\n\r\n")
+	return err
+}
+
 // TestCrowdsAtServe guards against clients that take a process of the serve command beyond the memory
 // or the descriptors of its machine.
 func TestCrowdsAtServe(t *testing.T) {
@@ -197,6 +203,7 @@
 		{"peersHello", maxDescriptors, crowdPlan{addr: servePeers, size: helloCrowd, rounds: crowdRounds, write: heldHello}},
 		{"bodies", manyDescriptors, crowdPlan{addr: serveCallers, size: crowdSize, rounds: 1, write: heldServeBody}},
 		{"messages", manyDescriptors, crowdPlan{addr: serveCallers, size: crowdSize, rounds: 1, write: manyMessages}},
+		{"responses", manyDescriptors, crowdPlan{addr: serveCallers, size: crowdSize, rounds: 1, unread: true, write: unreadResponses}},
 		{"bodiesThatDoNotCome", maxDescriptors, crowdPlan{addr: serveCallers, size: crowdSize, rounds: 1, unread: true, write: announceBody("POST /services/tags/entries", "Authorization: Bearer "+workspaceKey+"\r\n")}},
 		{"refusedBodies", maxDescriptors, crowdPlan{addr: serveCallers, size: crowdSize, rounds: 1, unread: true, write: announceBody("POST /services/tags/entries", "")}},
 		{"operatorsBodies", maxDescriptors, crowdPlan{addr: serveOperators, size: crowdSize, rounds: 1, unread: true, write: announceBody("POST /v1/releases", "")}},
