ingress: small receive buffers for connections to backend servers

What callers saw: callers who asked for streams and did not read them took the VM beyond its memory, where bytes that have been received and not read count.

Cause: the VM reads an event when the one before it has been written. Behind a caller who does not read, the connection to the server fills: 64 KiB and more each.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -110,7 +110,7 @@
 	vmMachine := machine.Machine{}.With(opts.Settings.MemoryMb, opts.Settings.MaxDescriptors)
 	bodyMemory := vmMachine.BodyBytes()
 	s := &Server{
-		opts: opts, log: opts.Log, machine: vmMachine, ctx: ctx, cancel: cancel, abortCtx: abortCtx, abort: abort, pool: replica.New(opts.Network),
+		opts: opts, log: opts.Log, machine: vmMachine, ctx: ctx, cancel: cancel, abortCtx: abortCtx, abort: abort, pool: replica.New(network.WithReadBuffer(opts.Network, vmMachine.ReadBuffer())),
 		metrics: newMetrics(), streams: map[uint64]*stream{}, servers: map[string]backend.Server{},
 		requestBodies: readlimit.New(bodyMemory), responseBodies: readlimit.New(bodyMemory),
 		drains: map[backend.Instance]*serverDrain{}, checks: map[backend.Instance]bool{}, leaving: map[backend.Instance]bool{}, notBefore: map[backend.Instance]time.Time{}, cancels: map[uint64]context.CancelCauseFunc{},
--- a/test/headflood/headflood_test.go
+++ b/test/headflood/headflood_test.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -51,9 +52,14 @@
 	// buffers of a connection whose caller has a buffer of smallBuffer and does not read.
 	longResponseBytes = 320 << 10
 
-	slowServerAddr = "127.9.2.2:8469"
-	longServerAddr = "127.9.2.3:8469"
-	metricsAddr    = "127.9.1.1:9464"
+	// streamedEvents is the number of events of a stream.
+	streamedEvents = 2000
+	eventBytes     = 2 << 10
+
+	slowServerAddr   = "127.9.2.2:8469"
+	longServerAddr   = "127.9.2.3:8469"
+	eventsServerAddr = "127.9.2.4:8469"
+	metricsAddr      = "127.9.1.1:9464"
 )
 
 type object = map[string]any
@@ -86,17 +92,22 @@
 		}, {
 			"name": "slow", "host": host, "pathPrefix": "/slow/", "kind": "safe", "service": "slow",
 			"maxAttempts": 2, "timeoutMs": 3000, "goalMs": 2000,
+		}, {
+			"name": "events", "host": host, "pathPrefix": "/events/", "kind": "streaming", "service": "events",
+			"maxAttempts": 1, "timeoutMs": 3000, "goalMs": 2000,
 		}, {
 			"name": "long", "host": host, "pathPrefix": "/long/", "kind": "safe", "service": "long",
 			"maxAttempts": 2, "timeoutMs": 3000, "goalMs": 2000,
 		}},
-		"services": []object{{"name": "plain", "maxConns": 96}, {"name": "slow", "maxConns": 2 * crowdSize}, {"name": "long", "maxConns": 96}},
+		"services": []object{{"name": "plain", "maxConns": 96}, {"name": "slow", "maxConns": 2 * crowdSize}, {"name": "long", "maxConns": 96}, {"name": "events", "maxConns": 2 * crowdSize}},
 		"tenants":  []object{{"name": "flood", "apiKeys": []string{apiKey}}},
 		"limits":   object{"headerBytes": 16_384, "bodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15_000},
 	})
 	startServer(t, s, "plain", serverAddr, 15*time.Millisecond)
 	listenAndServe(t, longServerAddr, http.HandlerFunc(respondLong))
 	enterServer(s, "long", longServerAddr)
+	listenAndServe(t, eventsServerAddr, http.HandlerFunc(respondWithEvents))
+	enterServer(s, "events", eventsServerAddr)
 	startServer(t, s, "slow", slowServerAddr, 2*time.Second)
 	settings, err := json.Marshal(object{
 		"vm":     object{"name": "vm-1", "region": "region-a", "dataCentre": "dc-a"},
@@ -137,6 +148,20 @@
 	_, _ = w.Write(make([]byte, longResponseBytes))
 }
 
+// respondWithEvents responds with a stream of streamedEvents events, each of eventBytes.
+func respondWithEvents(w http.ResponseWriter, r *http.Request) {
+	attempt := r.Header.Get("X-Pimentohinge-Attempt-Id")
+	w.Header().Set("X-Pimentohinge-Attempt-Id", attempt)
+	w.Header().Set("X-Pimentohinge-Response-Stamp", "stamp-"+attempt)
+	w.Header().Set("Content-Type", "text/event-stream")
+	text := strings.Repeat("x", eventBytes)
+	for i := range streamedEvents {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i+1, text); err != nil {
+			return
+		}
+	}
+}
+
 // enterServer enters the only server of a service in the store.
 func enterServer(s *store.Store, service, addr string) {
 	s.Set("servers/"+service+"-1", object{
--- a/test/headflood/notreading_test.go
+++ b/test/headflood/notreading_test.go
@@ -26,3 +26,18 @@
 	crowd.end()
 	v.checkAndKill(machine)
 }
+
+// TestStreamsThatAreNotRead lets callers ask for streams that they do not read.
+func TestStreamsThatAreNotRead(t *testing.T) {
+	v := startVM(t, build(t), manyDescriptors)
+	crowd := crowdPlan{addr: callers, size: crowdSize, rounds: 1, unread: true, write: func(conn net.Conn, member, _ int) error {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetReadBuffer(smallBuffer)
+		}
+		_, err := io.WriteString(conn, strings.Replace(head(fmt.Sprintf("stream-%d", member)), "/lookup/", "/events/", 1)+"\r\n")
+		return err
+	}}.run()
+	checkServes(t, "streams")
+	crowd.end()
+	v.checkAndKill(limits{memoryMb, manyDescriptors})
+}
