network: receive buffers are set before a connection is opened

Cause: the small buffer was set after the connection had announced a larger one. What the server sent on top was dropped, and sent again after 200 ms.

Change: the buffer is set before the connection is opened, so that the announced window fits it.

--- a/internal/network/network.go
+++ b/internal/network/network.go
@@ -29,14 +29,25 @@
 )
 
 // TCP is the operating system's TCP network.
-type TCP struct{}
+type TCP struct {
+	// readBuffer is the size of the receive buffers of opened connections; 0 means the system's.
+	readBuffer int
+}
 
 // Listen opens a TCP listener.
 func (TCP) Listen(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
 
 // Dial opens a TCP connection.
-func (TCP) Dial(ctx context.Context, addr string) (net.Conn, error) {
+func (n TCP) Dial(ctx context.Context, addr string) (net.Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout}
+	if n.readBuffer > 0 {
+		// Before the connection announces how much it receives.
+		d.Control = func(_, _ string, raw syscall.RawConn) error {
+			// A connection that keeps its buffer works too.
+			_ = setReadBuffer(raw, n.readBuffer)
+			return nil
+		}
+	}
 	return d.DialContext(ctx, "tcp", addr)
 }
 
@@ -76,35 +87,24 @@
 	if err != nil {
 		return err
 	}
-	var optionErr error
-	if err := raw.Control(func(fd uintptr) {
-		optionErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, bytes)
-	}); err != nil {
-		return err
-	}
-	return optionErr
+	return setReadBuffer(raw, bytes)
 }
 
 // WithReadBuffer returns a network whose opened connections have receive buffers of the given size in
-// bytes; 0 leaves them as they are.
+// bytes; 0 leaves them as they are. Only TCP has such buffers.
 func WithReadBuffer(n Network, bytes int) Network {
-	if bytes == 0 {
+	if _, ok := n.(TCP); !ok || bytes == 0 {
 		return n
 	}
-	return readBuffered{n, bytes}
+	return TCP{readBuffer: bytes}
 }
 
-// readBuffered sets the receive buffers of the connections that it opens.
-type readBuffered struct {
-	Network
-	bytes int
-}
-
-func (n readBuffered) Dial(ctx context.Context, addr string) (net.Conn, error) {
-	conn, err := n.Network.Dial(ctx, addr)
-	if socket, ok := conn.(interface{ SetReadBuffer(bytes int) error }); ok && err == nil {
-		// A connection that keeps its buffer works too.
-		_ = socket.SetReadBuffer(n.bytes)
+func setReadBuffer(raw syscall.RawConn, bytes int) error {
+	var optionErr error
+	if err := raw.Control(func(fd uintptr) {
+		optionErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, bytes)
+	}); err != nil {
+		return err
 	}
-	return conn, err
+	return optionErr
 }
