ticket, outcome, vm: what serve keeps of ended requests has a bound

What callers saw: requests that had ended, one after the other, took the process of serve beyond its memory.

Cause: of each refused request a timeline is kept, 20,000 of them, with the text that was refused: a path of 15 kB from anybody, a model name of 1 MiB from a caller with a key. Of each spent ticket the whole response was kept for 10 to 20 minutes, without a bound on their number; all of them were looked through for each ticket.

Change: details of refusals are cut at 512 bytes, in responses, logs and timelines. Timelines and tickets take 1/16 of the memory each. A record of a spent ticket is never dropped before its time, as its call could run twice: when there is no memory for another one the ticket is not spent, 503 vmFull. A response for which there is none is not repeated, 409 responseNotStored. Expired records are looked for once a second.

--- a/internal/caller/plain.go
+++ b/internal/caller/plain.go
@@ -233,6 +233,9 @@
 		if previous.BodyHash != call.hash {
 			return service.Response{}, outcome.Refuse(outcome.KeyReused, "the ticket was spent on another request"), false
 		}
+		if previous.Omitted {
+			return service.Response{}, outcome.Result{Kind: outcome.Interrupted, Cause: outcome.ResponseNotStored}, false
+		}
 		if previous.Done {
 			return service.Response{Status: previous.Status, ContentType: previous.ContentType, Body: previous.Body}, outcome.Done(0), false
 		}
@@ -241,6 +244,10 @@
 		return service.Response{}, outcome.Result{Kind: outcome.Unknown, Cause: outcome.IssuerGone, Detail: opened.VM}, false
 	case ticket.Forgotten:
 		return service.Response{}, outcome.Result{Kind: outcome.Unknown, Cause: outcome.TicketExpired}, false
+	case ticket.Full:
+		o := outcome.Refuse(outcome.VMFull, "the ticket was not spent")
+		o.RetryAt = time.Now().Add(fullRetryDelay)
+		return service.Response{}, o, false
 	case ticket.Expired:
 		return service.Response{}, outcome.Refuse(outcome.BadRequest, "the ticket has expired and was not spent"), false
 	}
--- a/internal/machine/machine.go
+++ b/internal/machine/machine.go
@@ -24,6 +24,8 @@
 	// bodiesDivisor limits request bodies that are buffered to one sixth of the memory, and response
 	// bodies to another sixth.
 	bodiesDivisor = 6
+	// recordsDivisor limits each kind of record of requests that have ended to 1/16 of the memory.
+	recordsDivisor = 16
 	// connBytes is the memory of one connection without its requests.
 	connBytes = 32 << 10
 )
@@ -84,6 +86,9 @@
 	debug.SetMemoryLimit(max(m.Bytes/minGCDivisor, (m.Bytes-programBytes)/100*gcPercent))
 }
 
+// RecordBytes returns the memory for each kind of record that is kept of requests that have ended.
+func (m Machine) RecordBytes() int64 { return m.Bytes / recordsDivisor }
+
 // BodyBytes returns the memory for request bodies, and for response bodies.
 func (m Machine) BodyBytes() int64 { return m.Bytes / bodiesDivisor }
 
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -6,6 +6,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -90,9 +91,16 @@
 	Tokens int
 }
 
+// maxDetailBytes is the length to which the details of refusals are cut. They may hold text of
+// callers, and are kept.
+const maxDetailBytes = 512
+
 // Refuse returns the result of a request that was refused and certainly did not
-// run.
+// run. A long detail is cut.
 func Refuse(c Cause, detail string) Result {
+	if len(detail) > maxDetailBytes {
+		detail = strings.ToValidUTF8(strings.Clone(detail[:maxDetailBytes]), "") + "..."
+	}
 	return Result{Kind: NotRun, Cause: c, Detail: detail}
 }
 
--- a/internal/ticket/ticket.go
+++ b/internal/ticket/ticket.go
@@ -6,6 +6,7 @@
 import (
 	"crypto/rand"
 	"encoding/hex"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,7 +21,15 @@
 // expiry.
 const recordRetention = Lifetime
 
-const nonceBytes = 12
+const (
+	nonceBytes = 12
+	// recordBytes is the memory of the record of a spent ticket without the response.
+	recordBytes = 512
+	// responsesDivisor leaves half of the memory to records without a response.
+	responsesDivisor = 2
+	// sweepInterval is the interval at which expired records are removed.
+	sweepInterval = time.Second
+)
 
 // Ticket is the content of the signed token that the caller sends.
 type Ticket struct {
@@ -45,6 +54,8 @@
 	Done bool
 	// BodyHash is the hash of the request for which the ticket was spent.
 	BodyHash string
+	// Omitted is set if the response was not stored, as there was no memory for it.
+	Omitted bool
 	// Status, ContentType and Body are the backend's response.
 	Status      int
 	ContentType string
@@ -72,6 +83,8 @@
 	OtherIssuer
 	// IssuerRestarted means that an earlier incarnation of this VM issued the ticket.
 	IssuerRestarted
+	// Full means that there is no memory for the record of a further ticket; this one was not spent.
+	Full
 )
 
 type spentTicket struct {
@@ -88,11 +101,17 @@
 
 	mu    sync.Mutex
 	spent map[string]*spentTicket
+	// memory is what the records may take, and used what they take, in bytes.
+	memory, used int64
+	nextSweep    time.Time
 }
 
-// New returns the issuer of one incarnation of a VM. secret is shared by the fleet.
-func New(secret, vm string, incarnation int) *Issuer {
-	return &Issuer{vm: vm, incarnation: incarnation, signer: signedtoken.New[Ticket](secret, "ticket"), spent: map[string]*spentTicket{}}
+// New returns the issuer of one incarnation of a VM. secret is shared by the fleet. The records of
+// spent tickets take at most memory bytes.
+func New(secret, vm string, incarnation int, memory int64) *Issuer {
+	return &Issuer{
+		vm: vm, incarnation: incarnation, signer: signedtoken.New[Ticket](secret, "ticket"), spent: map[string]*spentTicket{}, memory: memory,
+	}
 }
 
 // Issue returns a new ticket for a workspace as a signed token.
@@ -137,7 +156,10 @@
 		return ticket, Response{}, Forgotten
 	case !now.Before(expires):
 		return ticket, Response{}, Expired
+	case i.used+recordBytes > i.memory:
+		return ticket, Response{}, Full
 	}
+	i.used += recordBytes
 	i.spent[ticket.Nonce] = &spentTicket{response: Response{BodyHash: bodyHash}, expires: expires.Add(recordRetention)}
 	return ticket, Response{}, Granted
 }
@@ -146,22 +168,40 @@
 func (i *Issuer) Release(ticket Ticket) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	delete(i.spent, ticket.Nonce)
+	i.remove(ticket.Nonce)
 }
 
-// StoreResponse stores the response of a spent ticket for repeated requests.
+// StoreResponse stores the response of a spent ticket for repeated requests, if there is memory for it.
 func (i *Issuer) StoreResponse(ticket Ticket, resp Response) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if spent := i.spent[ticket.Nonce]; spent != nil {
-		spent.response = resp
+	spent := i.spent[ticket.Nonce]
+	if spent == nil {
+		return
+	}
+	if i.used+int64(len(resp.Body)) > i.memory/responsesDivisor {
+		resp.Body, resp.Omitted = nil, true
 	}
+	resp.Body = slices.Clone(resp.Body)
+	i.used += int64(len(resp.Body)) - int64(len(spent.response.Body))
+	spent.response = resp
 }
 
 func (i *Issuer) removeExpired(now time.Time) {
+	if now.Before(i.nextSweep) {
+		return
+	}
+	i.nextSweep = now.Add(sweepInterval)
 	for nonce, spent := range i.spent {
 		if now.After(spent.expires) {
-			delete(i.spent, nonce)
+			i.remove(nonce)
 		}
 	}
 }
+
+func (i *Issuer) remove(nonce string) {
+	if spent := i.spent[nonce]; spent != nil {
+		i.used -= recordBytes + int64(len(spent.response.Body))
+		delete(i.spent, nonce)
+	}
+}
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -42,6 +42,7 @@
 	tickInterval       = 10 * time.Millisecond
 	messageQueueLength = 4096
 	maxTimelines       = 20_000
+	timelineBytes      = 4 << 10 // the memory of a timeline
 	headerTimeout      = 10 * time.Second
 	maxHeaderBytes     = 32 << 10
 	// peersTimeout bounds requests of other VMs that do not open a link, and operatorsWriteTimeout the
@@ -127,7 +128,7 @@
 		messages:         make(chan control.Message, messageQueueLength),
 		platform:         platform.New(vmSettings.Platform.Address, client),
 		engines:          engine.New(backends),
-		incidents:        incident.New(vmSettings.VM.Name, maxTimelines),
+		incidents:        incident.New(vmSettings.VM.Name, min(maxTimelines, int(vmMachine.RecordBytes()/timelineBytes))),
 		registry:         prometheus.NewRegistry(),
 		machine:          vmMachine,
 		pendingPlaces:    map[string]chan placeResult{},
@@ -150,7 +151,7 @@
 		VM: vmSettings.VM.Name, Limits: vmSettings.Callers, Secret: vmSettings.Peers.Key, Broker: v, Engines: v.engines,
 		Bodies:   readlimit.New(v.machine.BodyBytes()),
 		Services: service.New(network.Client(backends), v.machine.BodyBytes()), Claims: v.claims,
-		Tickets:   ticket.New(vmSettings.Peers.Key, vmSettings.VM.Name, v.incarnation),
+		Tickets:   ticket.New(vmSettings.Peers.Key, vmSettings.VM.Name, v.incarnation, vmMachine.RecordBytes()),
 		Incidents: v.incidents, Log: opts.Log,
 	})
 	v.callers.Metrics().Register(v.registry)
--- a/test/headflood/serve_test.go
+++ b/test/headflood/serve_test.go
@@ -37,8 +37,14 @@
 	serveHeadBytes = 30_000
 	// bodyBytes is the longest body that the serve command accepts by default.
 	bodyBytes = 1 << 20
-	// largeBytes is the length of the responses at /large.
-	largeBytes = 1 << 20
+	// pathCrowd and pathRounds are the callers that ask for long paths, and their requests.
+	pathCrowd  = 100
+	pathRounds = 80
+	// modelRequests is the number of requests for a model with a long name.
+	modelRequests = 150
+	// ticketCalls is the number of calls with a ticket whose response has largeBytes.
+	ticketCalls = 150
+	largeBytes  = 1 << 20
 )
 
 // startBackend starts a plain service whose responses have largeBytes at /large.
@@ -188,6 +194,17 @@
 	return err
 }
 
+// longPaths writes requests without a key for paths that do not exist.
+func longPaths(conn net.Conn, _, _ int) error {
+	go func() { _, _ = io.Copy(io.Discard, conn) }()
+	for range pathRounds {
+		if _, err := io.WriteString(conn, "GET /"+strings.Repeat("x", headBytes)+" HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // TestCrowdsAtServe guards against clients that take a process of the serve command beyond the memory
 // or the descriptors of its machine.
 func TestCrowdsAtServe(t *testing.T) {
@@ -207,6 +224,7 @@
 		{"bodiesThatDoNotCome", maxDescriptors, crowdPlan{addr: serveCallers, size: crowdSize, rounds: 1, unread: true, write: announceBody("POST /services/tags/entries", "Authorization: Bearer "+workspaceKey+"\r\n")}},
 		{"refusedBodies", maxDescriptors, crowdPlan{addr: serveCallers, size: crowdSize, rounds: 1, unread: true, write: announceBody("POST /services/tags/entries", "")}},
 		{"operatorsBodies", maxDescriptors, crowdPlan{addr: serveOperators, size: crowdSize, rounds: 1, unread: true, write: announceBody("POST /v1/releases", "")}},
+		{"paths", manyDescriptors, crowdPlan{addr: serveCallers, size: pathCrowd, rounds: 1, write: longPaths}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			v := startServe(t, program, nil, c.descriptors)
@@ -240,6 +258,42 @@
 	}
 }
 
+// TestWhatRequestsToServeLeaveBehind sends requests one after the other, of each of which the process
+// keeps a record.
+func TestWhatRequestsToServeLeaveBehind(t *testing.T) {
+	program := build(t)
+	for _, c := range []struct {
+		name     string
+		requests int
+		send     func(v *serveVM)
+	}{
+		{"models", modelRequests, func(v *serveVM) {
+			body := `{"prompt":"x","model":"` + strings.Repeat("x", bodyBytes-64) + `"}`
+			v.do(http.MethodPost, serveCallers, "/v1/completions", workspaceKey, strings.NewReader(body), nil)
+		}},
+		{"tickets", ticketCalls, func(v *serveVM) {
+			_, text := v.do(http.MethodPost, serveCallers, "/v1/tickets", workspaceKey, nil, nil)
+			var issued struct{ Ticket string }
+			if err := json.Unmarshal(text, &issued); err != nil {
+				v.t.Errorf("ticket: %v in %q", err, text)
+			}
+			status, _ := v.do(http.MethodPost, serveCallers, "/services/tags/large", workspaceKey, nil, http.Header{"Idempotency-Ticket": {issued.Ticket}})
+			if status != http.StatusOK {
+				v.t.Errorf("call with a ticket: status %d", status)
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			v := startServe(t, program, nil, maxDescriptors)
+			for range c.requests {
+				c.send(v)
+			}
+			v.check()
+			v.checkAndKill(machine)
+		})
+	}
+}
+
 // TestLargestRequestToServeIsServedInCalm sends one request with the largest head and the longest body.
 func TestLargestRequestToServeIsServedInCalm(t *testing.T) {
 	v := startServe(t, build(t), nil, maxDescriptors)
