headlimit, vm: TLS handshakes count with the heads

What callers saw: clients that sent most of a TLS handshake and held back the rest took the process of serve beyond its memory.

Cause: the limiter was above TLS. A message of a handshake may have 64 KiB, and 256 KiB with certificates, and is kept in growing buffers until it is whole.

Change: the limiter is beneath TLS. It counts the bytes of a handshake, four times each, until the handshake has ended, and closes the oldest incomplete ones when there is no memory. After it the heads are counted as they are decrypted.

--- a/internal/headlimit/headlimit.go
+++ b/internal/headlimit/headlimit.go
@@ -122,6 +122,9 @@
 	evicted, uncounted, muted bool
 	// hijacked is set when no further head follows.
 	hijacked bool
+	// encrypted is set when the heads are read by a secureConn, and handshaking until its handshake has
+	// ended. They are not protected by limiter.mu.
+	encrypted, handshaking bool
 }
 
 // Wrap returns the limited connection, or nil when there are too many. It closes a connection
@@ -193,8 +196,8 @@
 
 // State records the state of a connection. It is the ConnState hook of an http.Server.
 func (l *Limiter) State(conn net.Conn, state http.ConnState) {
-	c, ok := conn.(*Conn)
-	if !ok {
+	c := limitedConn(conn)
+	if c == nil {
 		return
 	}
 	l.mu.Lock()
@@ -251,12 +254,19 @@
 
 // Read reads from the connection. It fails once the limiter has closed or refused the connection.
 func (c *Conn) Read(p []byte) (int, error) {
-	if err := c.charge(0); err != nil {
+	if c.encrypted && !c.handshaking {
+		return c.Conn.Read(p)
+	}
+	if err := c.charge(0, nil); err != nil {
 		return 0, err
 	}
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		if err := c.charge(costOf(p[:n])); err != nil {
+		cost, refuse := costOf(p[:n]), c.refuse
+		if c.handshaking {
+			cost, refuse = handshakeByteFactor*int64(n), nil
+		}
+		if err := c.charge(cost, refuse); err != nil {
 			return 0, err
 		}
 	}
@@ -266,6 +276,12 @@
 	return n, err
 }
 
+// refuse writes the refusal beneath Write.
+func (c *Conn) refuse() {
+	_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout))
+	_, _ = c.Conn.Write(c.limiter.opts.Refusal)
+}
+
 // Write writes to the connection. It fails once reading a head has failed: an http.Server takes
 // the part of a line before the failure for a malformed line and would answer 400, which tells the
 // caller not to send its proper request again.
@@ -279,6 +295,13 @@
 	return c.Conn.Write(p)
 }
 
+// mute ends writing to the connection.
+func (c *Conn) mute() {
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	c.muted = true
+}
+
 // headFailed records that reading failed, if that was in a head.
 func (c *Conn) headFailed() {
 	c.limiter.mu.Lock()
@@ -293,8 +316,8 @@
 }
 
 // charge counts a part of a head, and closes other connections or refuses this one if there is
-// no memory for it.
-func (c *Conn) charge(cost int64) error {
+// no memory for it. refuse writes the refusal; nil writes none.
+func (c *Conn) charge(cost int64, refuse func()) error {
 	l := c.limiter
 	l.mu.Lock()
 	if c.evicted {
@@ -326,10 +349,10 @@
 		_ = victim.Conn.Close()
 	}
 	if refused {
-		if !c.hijacked {
-			_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout))
-			_, _ = c.Conn.Write(l.opts.Refusal)
+		if refuse != nil && !c.hijacked {
+			refuse()
 		}
+		c.mute()
 		return readError(errRefused)
 	}
 	return nil
@@ -349,7 +372,7 @@
 		}
 	}
 	if l.exceeded(s, c) {
-		c.evicted, c.muted = true, true
+		c.evicted = true
 		l.counts.RefusedHeads++
 		l.remove(c)
 		return victims, true
--- a/internal/headlimit/server.go
+++ b/internal/headlimit/server.go
@@ -2,15 +2,17 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 )
 
 // Serve serves HTTP on the connections of a listener until the listener fails or the server is
-// closed. It sets the hooks of the server and wraps its handler.
-func (l *Limiter) Serve(server *http.Server, ln net.Listener) error {
+// closed. It sets the hooks of the server and wraps its handler. The connections use TLS if config is
+// not nil.
+func (l *Limiter) Serve(server *http.Server, ln net.Listener, config *tls.Config) error {
 	l.Attach(server)
-	return server.Serve(&listener{Listener: ln, limiter: l})
+	return server.Serve(&listener{Listener: ln, limiter: l, config: config})
 }
 
 // Attach sets the hooks of a server that serves connections of the limiter and wraps its handler.
@@ -23,6 +25,7 @@
 type listener struct {
 	net.Listener
 	limiter *Limiter
+	config  *tls.Config // nil for none
 }
 
 // Accept returns the next connection that is not refused.
@@ -32,10 +35,15 @@
 		if err != nil {
 			return nil, err
 		}
-		if limited := l.limiter.Wrap(conn); limited != nil {
+		limited := l.limiter.Wrap(conn)
+		switch {
+		case limited == nil:
+			_ = conn.Close()
+		case l.config != nil:
+			return limited.secure(l.config), nil
+		default:
 			return limited, nil
 		}
-		_ = conn.Close()
 	}
 }
 
@@ -43,7 +51,7 @@
 type connKey struct{}
 
 func withConn(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, conn)
+	return context.WithValue(ctx, connKey{}, limitedConn(conn))
 }
 
 // FromContext returns the connection of a request, or nil if it has no limiter.
--- a/internal/ingress/listeners.go
+++ b/internal/ingress/listeners.go
@@ -54,7 +54,7 @@
 			IdleTimeout: internalIdleTimeout, MaxHeaderBytes: defaultHeaderBytes,
 		}
 		limiter := s.listeners.Add(endpoint.name, endpoint.limits)
-		s.spawn(func() { _ = limiter.Serve(server, ln) })
+		s.spawn(func() { _ = limiter.Serve(server, ln, nil) })
 		context.AfterFunc(s.ctx, func() { _ = server.Close() })
 	}
 	callers, err = s.opts.Network.Listen(addresses.Callers)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -41,7 +41,7 @@
 	mux.Handle(peer.Path, links)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}
 	limiter := headlimit.New(headlimit.Options{MaxConns: maxUnproven, MemoryBytes: 1 << 20, Handshakes: true})
-	go func() { _ = limiter.Serve(server, ln) }()
+	go func() { _ = limiter.Serve(server, ln, nil) }()
 	t.Cleanup(func() {
 		_ = server.Close()
 		links.Close()
--- a/internal/vm/tls.go
+++ b/internal/vm/tls.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
-	"net"
 	"os"
 	"sync"
 	"time"
@@ -57,13 +56,17 @@
 	return nil
 }
 
-// newTLSListener wraps a listener in TLS with the certificate from the settings.
-func newTLSListener(ln net.Listener, s settings.TLS) (net.Listener, error) {
+// serverTLS returns the TLS configuration for callers and operators, or nil if the settings name no
+// certificate.
+func serverTLS(s settings.TLS) (*tls.Config, error) {
+	if s.Certificate == "" {
+		return nil, nil
+	}
 	c := &certReloader{settings: s}
 	if _, err := c.get(nil); err != nil {
 		return nil, err
 	}
-	return tls.NewListener(ln, &tls.Config{GetCertificate: c.get, MinVersion: tls.VersionTLS12}), nil
+	return &tls.Config{GetCertificate: c.get, MinVersion: tls.VersionTLS12}, nil
 }
 
 // peerTLS returns the TLS configuration for peer links, which both sides use: each
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -189,6 +188,10 @@
 	if err != nil {
 		return err
 	}
+	serverConfig, err := serverTLS(v.opts.Settings.TLS)
+	if err != nil {
+		return err
+	}
 	v.links = v.newLinks(peerConfig)
 	peers := http.NewServeMux()
 	peers.Handle(peer.Path, v.links)
@@ -196,15 +199,15 @@
 	for _, e := range []endpoint{
 		{
 			name: "peers", addr: listen.Peers, handler: peers, limits: v.machine.Peers(), readTimeout: peersTimeout, writeTimeout: peersTimeout,
-			wrap: func(ln net.Listener) (net.Listener, error) { return wrapPeerListener(ln, peerConfig), nil },
+			tls: peerConfig,
 		},
 		{
 			name: "operators", addr: listen.Operators, handler: ops.Handler(), limits: v.machine.Internal(), writeTimeout: operatorsWriteTimeout,
-			wrap: v.wrapListener,
+			tls: serverConfig,
 		},
 		{
 			name: "callers", addr: listen.Callers, handler: v.callers.Handler(), limits: v.machine.Callers(), readBuffer: v.machine.ReadBuffer(),
-			wrap: v.wrapListener,
+			tls: serverConfig,
 		},
 	} {
 		server, err := v.serve(e)
@@ -227,14 +230,6 @@
 	return nil
 }
 
-// wrapPeerListener wraps a listener in mutual TLS if config is not nil.
-func wrapPeerListener(ln net.Listener, config *tls.Config) net.Listener {
-	if config == nil {
-		return ln
-	}
-	return tls.NewListener(ln, config)
-}
-
 // endpoint is one of the interfaces of a VM.
 type endpoint struct {
 	name, addr string
@@ -245,11 +240,11 @@
 	readTimeout, writeTimeout time.Duration
 	// readBuffer is the size of the receive buffers; 0 means the system's.
 	readBuffer int
-	// wrap adds TLS to the listener, if the settings say so.
-	wrap func(net.Listener) (net.Listener, error)
+	// tls is nil for plain HTTP.
+	tls *tls.Config
 }
 
-// serve opens the listener of an interface, wraps it and serves HTTP on it.
+// serve opens the listener of an interface and serves HTTP on it.
 func (v *VM) serve(e endpoint) (*http.Server, error) {
 	ln, err := v.opts.Network.Listen(e.addr)
 	if err != nil {
@@ -258,17 +253,13 @@
 	if err := network.SetReadBuffer(ln, e.readBuffer); err != nil {
 		v.log.Warn().Str("event", "readBuffer").Str("reason", err.Error()).Msg("")
 	}
-	ln, err = e.wrap(ln)
-	if err != nil {
-		return nil, err
-	}
 	s := &http.Server{
 		Handler: e.handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: e.readTimeout, WriteTimeout: e.writeTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes,
 	}
 	v.servers = append(v.servers, s)
 	limiter := v.listeners.Add(e.name, e.limits)
-	v.spawn(func() { _ = limiter.Serve(s, ln) })
+	v.spawn(func() { _ = limiter.Serve(s, ln, e.tls) })
 	return s, nil
 }
 
@@ -279,14 +270,6 @@
 	}
 }
 
-// wrapListener wraps a listener in TLS if the settings name a certificate.
-func (v *VM) wrapListener(ln net.Listener) (net.Listener, error) {
-	if v.opts.Settings.TLS.Certificate == "" {
-		return ln, nil
-	}
-	return newTLSListener(ln, v.opts.Settings.TLS)
-}
-
 // spawn runs f in a goroutine that Kill waits for.
 func (v *VM) spawn(f func()) {
 	v.wg.Add(1)
--- a/test/headflood/serve_test.go
+++ b/test/headflood/serve_test.go
@@ -45,6 +45,8 @@
 	// ticketCalls is the number of calls with a ticket whose response has largeBytes.
 	ticketCalls = 150
 	largeBytes  = 1 << 20
+	// helloRecordBytes is the length of the records of a TLS handshake.
+	helloRecordBytes = 16_000
 )
 
 // startBackend starts a plain service whose responses have largeBytes at /large.
@@ -205,6 +207,21 @@
 	return nil
 }
 
+// heldHandshake writes most of the first message of a TLS handshake.
+func heldHandshake(conn net.Conn, _, _ int) error {
+	const messageBytes = 4 * helloRecordBytes
+	message := append([]byte{1, messageBytes >> 16, messageBytes >> 8 & 0xff, messageBytes & 0xff}, make([]byte, messageBytes-1)...)
+	for len(message) > 0 {
+		n := min(len(message), helloRecordBytes)
+		record := append([]byte{22, 3, 1, byte(n >> 8), byte(n & 0xff)}, message[:n]...)
+		if _, err := conn.Write(record); err != nil {
+			return err
+		}
+		message = message[n:]
+	}
+	return nil
+}
+
 // TestCrowdsAtServe guards against clients that take a process of the serve command beyond the memory
 // or the descriptors of its machine.
 func TestCrowdsAtServe(t *testing.T) {
@@ -247,6 +264,8 @@
 	}{
 		{"callers", maxDescriptors, crowdPlan{addr: serveCallers, size: crowdSize, rounds: crowdRounds, tls: certificate.client, write: heldServeHead}},
 		{"operators", maxDescriptors, crowdPlan{addr: serveOperators, size: crowdSize, rounds: crowdRounds, tls: certificate.client, write: heldServeHead}},
+		{"callersHandshake", manyDescriptors, crowdPlan{addr: serveCallers, size: crowdSize, rounds: crowdRounds, write: heldHandshake}},
+		{"peersHandshake", manyDescriptors, crowdPlan{addr: servePeers, size: crowdSize, rounds: crowdRounds, write: heldHandshake}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			v := startServe(t, program, certificate, c.descriptors)
