headlimit: ordinary callers get through a crowd that connects again at once

What callers saw: beside a crowd that connects again as fast as it is closed, or holds back bodies, most ordinary requests were closed without a response, on a VM of few descriptors up to 855 of 856.

Cause: which connection gives way. Each new one closed the oldest at once, before the server had read the head that an ordinary caller had sent. A request whose body is held back counted as in progress and did not give way.

Change: a connection has 20 ms for its head, or 200 ms to prove that it is a VM, before it gives way; new ones wait in the listener's queue. A request whose body is incomplete gives way too, as it has not run. Idle connections give way when they are more than the others. The waiting connections are kept by stage, so that the choice takes the same time for any number of them.

--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -7,6 +7,7 @@
 	"os"
 	"time"
 
+	"github.com/pimentohinge/pimentohinge/internal/headlimit"
 	"github.com/pimentohinge/pimentohinge/internal/outcome"
 	"github.com/pimentohinge/pimentohinge/internal/readlimit"
 )
@@ -43,7 +44,14 @@
 	req.memory = s.opts.Bodies.Reserve()
 	conn := http.NewResponseController(req.w)
 	source := &callerBody{ReadCloser: req.r.Body, conn: conn, end: time.Now().Add(bodyTimeout)}
+	limited := headlimit.FromContext(req.r.Context())
+	if limited != nil {
+		limited.AwaitBody()
+	}
 	body, err := req.memory.ReadAll(http.MaxBytesReader(req.w, source, limit), req.r.ContentLength, limit)
+	if limited != nil && !limited.BodyRead() {
+		return nil, outcome.Refuse(outcome.CallerGone, "closed for other connections while reading the body"), false
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
--- a/internal/headlimit/headlimit.go
+++ b/internal/headlimit/headlimit.go
@@ -4,7 +4,8 @@
 // Load pattern: callers that open many connections and send heads of legal size made of very
 // many short lines, each of which takes many times its length in memory, and that hold back the
 // end. Connections whose head is not complete give way first, the oldest of them before the
-// others: an ordinary caller sends its head at once. Small heads have a part of the memory of
+// others: an ordinary caller sends its head at once, and gets the time to do so however fast others
+// open connections. Small heads have a part of the memory of
 // their own, so that large ones do not keep them out.
 package headlimit
 
@@ -29,6 +30,10 @@
 	smallHeadBytes = 32 << 10
 	// refusalTimeout bounds writing a refusal.
 	refusalTimeout = 100 * time.Millisecond
+	// minHeadWait and minHandshakeWait are the time that a connection has to send its head, or to prove
+	// who it is, before it may be closed for a new one.
+	minHeadWait      = 20 * time.Millisecond
+	minHandshakeWait = 200 * time.Millisecond
 )
 
 var (
@@ -66,15 +71,30 @@
 	opts Options
 
 	mu sync.Mutex
-	// conns counts the open connections. waiting holds those whose head is not complete or has
-	// not begun, in the order in which they began to wait.
+	// conns counts the open connections. waiting holds those that wait for a request or the rest of
+	// one, by stage, in the order in which they reached it.
 	conns   int
-	waiting *list.List
+	waiting [stages]*list.List
+	// ended receives an element when a connection has ended.
+	ended chan struct{}
 	// used is the memory of the small heads and of the large ones.
 	used   [sizes]int64
 	counts Counts
 }
 
+// stage says for what a connection waits.
+type stage int
+
+const (
+	// silent: for the first byte of its first request.
+	silent stage = iota
+	// incomplete: for the rest of a request, or of a handshake.
+	incomplete
+	// idle: for the next request.
+	idle
+	stages
+)
+
 // size is the class of a head.
 type size int
 
@@ -85,7 +105,13 @@
 )
 
 // New returns a limiter without connections.
-func New(opts Options) *Limiter { return &Limiter{opts: opts, waiting: list.New()} }
+func New(opts Options) *Limiter {
+	l := &Limiter{opts: opts, ended: make(chan struct{}, 1)}
+	for i := range l.waiting {
+		l.waiting[i] = list.New()
+	}
+	return l
+}
 
 // Counts returns the counts so far.
 func (l *Limiter) Counts() Counts {
@@ -106,9 +132,14 @@
 	net.Conn
 	limiter *Limiter
 
-	// The fields below are protected by limiter.mu. element is its place in limiter.waiting, nil
+	// The fields below are protected by limiter.mu. element is its place in limiter.waiting[stage], nil
 	// while a request is in progress.
 	element *list.Element
+	stage   stage
+	// waitsSince is the time from which on it has had time to send what it waits for.
+	waitsSince time.Time
+	// inBody is set while it is there for the body of a request.
+	inBody bool
 	// cost is the memory of the head, and begun set when some of it has been read.
 	cost  int64
 	begun bool
@@ -127,44 +158,92 @@
 	encrypted, handshaking bool
 }
 
-// Wrap returns the limited connection, or nil when there are too many. It closes a connection
-// that waits in place of the new one if it can.
+// Wrap returns the limited connection, or nil when requests are in progress on all that are allowed.
+// Otherwise it closes a connection that waits in place of the new one, once that has had minWait for
+// its head.
 func (l *Limiter) Wrap(conn net.Conn) *Conn {
-	l.mu.Lock()
-	var victim *Conn
-	if l.conns >= l.opts.MaxConns {
-		victim = l.connToClose()
-		if victim == nil {
-			l.counts.RefusedConns++
+	for {
+		l.mu.Lock()
+		if l.conns < l.opts.MaxConns {
+			c := &Conn{Conn: conn, limiter: l}
+			l.conns++
+			l.wait(c, silent)
 			l.mu.Unlock()
+			return c
+		}
+		victim, readyAt := l.connToClose(time.Now())
+		if victim != nil {
+			l.evict(victim)
+		} else if readyAt.IsZero() {
+			l.counts.RefusedConns++
+		}
+		l.mu.Unlock()
+		switch {
+		case victim != nil:
+			_ = victim.Conn.Close()
+		case readyAt.IsZero():
 			return nil
+		default:
+			l.awaitRoom(readyAt)
 		}
-		l.evict(victim)
 	}
-	c := &Conn{Conn: conn, limiter: l}
-	l.conns++
-	c.element = l.waiting.PushBack(c)
-	l.mu.Unlock()
-	if victim != nil {
-		_ = victim.Conn.Close()
+}
+
+// awaitRoom blocks until a connection has ended, or a time.
+func (l *Limiter) awaitRoom(until time.Time) {
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	select {
+	case <-l.ended:
+	case <-timer.C:
 	}
-	return c
 }
 
-// connToClose returns the connection that gives way to a new one: the oldest one whose head is
-// incomplete, else one that has sent nothing yet, else an idle one.
-func (l *Limiter) connToClose() *Conn {
-	var best *Conn
-	for e := l.waiting.Front(); e != nil; e = e.Next() {
-		c := e.Value.(*Conn)
-		if c.begun {
-			return c
+// wait adds a connection to those that wait.
+func (l *Limiter) wait(c *Conn, stage stage) {
+	c.stage, c.waitsSince = stage, time.Now()
+	c.element = l.waiting[stage].PushBack(c)
+}
+
+// connToClose returns the connection that gives way to a new one: the oldest one whose request is
+// incomplete, else one that has sent nothing yet, if it has waited for minWait; else the oldest idle
+// one, if there are more of these than of the former. Otherwise it returns the time at which a
+// connection will have waited long enough, which is zero if none waits.
+func (l *Limiter) connToClose(now time.Time) (victim *Conn, readyAt time.Time) {
+	for _, stage := range []stage{incomplete, silent} {
+		oldest := l.oldest(stage)
+		if oldest == nil {
+			continue
+		}
+		at := oldest.waitsSince.Add(l.minWait())
+		if !now.Before(at) {
+			return oldest, time.Time{}
 		}
-		if best == nil || best.served && !c.served {
-			best = c
+		if readyAt.IsZero() || at.Before(readyAt) {
+			readyAt = at
 		}
 	}
-	return best
+	if l.waiting[idle].Len() > l.waiting[incomplete].Len()+l.waiting[silent].Len() {
+		return l.oldest(idle), time.Time{}
+	}
+	return nil, readyAt
+}
+
+// oldest returns the connection that has been in a stage for longest, or nil.
+func (l *Limiter) oldest(stage stage) *Conn {
+	if e := l.waiting[stage].Front(); e != nil {
+		return e.Value.(*Conn)
+	}
+	return nil
+}
+
+// minWait is the time that a connection has for its head, or for a handshake, before it may be closed
+// for a new one.
+func (l *Limiter) minWait() time.Duration {
+	if l.opts.Handshakes {
+		return minHandshakeWait
+	}
+	return minHeadWait
 }
 
 // evict removes a connection from the limiter. The caller closes it without holding mu.
@@ -184,12 +263,16 @@
 	if !c.uncounted {
 		c.uncounted = true
 		l.conns--
+		select {
+		case l.ended <- struct{}{}:
+		default:
+		}
 	}
 }
 
 func (l *Limiter) stopWaiting(c *Conn) {
 	if c.element != nil {
-		l.waiting.Remove(c.element)
+		l.waiting[c.stage].Remove(c.element)
 		c.element = nil
 	}
 }
@@ -214,14 +297,14 @@
 		// The deadline for the last response does not hold for the next one.
 		_ = conn.SetWriteDeadline(time.Time{})
 		if c.element == nil && !c.uncounted {
-			c.element = l.waiting.PushBack(c)
+			l.wait(c, idle)
 		}
 	case http.StateHijacked:
 		l.release(c)
 		c.hijacked = true
 		if l.opts.Handshakes && !c.uncounted {
 			c.begun = true
-			c.element = l.waiting.PushBack(c)
+			l.wait(c, incomplete)
 		}
 	case http.StateClosed:
 		l.remove(c)
@@ -229,6 +312,29 @@
 	}
 }
 
+// AwaitBody records that the handler of a request reads its body. Until BodyRead is called the
+// connection may be closed for another one: a caller that holds back a body keeps others out as one
+// that holds back a head. The request has not run.
+func (c *Conn) AwaitBody() {
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	if c.element == nil && !c.uncounted {
+		c.inBody, c.begun = true, true
+		c.limiter.wait(c, incomplete)
+	}
+}
+
+// BodyRead records that a request has been read. It reports false if the connection was closed before.
+func (c *Conn) BodyRead() bool {
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	if c.inBody {
+		c.inBody = false
+		c.limiter.stopWaiting(c)
+	}
+	return !c.evicted
+}
+
 // Established records that the client of a hijacked connection has proven who it is. The connection
 // does not count any more.
 func (c *Conn) Established() {
@@ -306,7 +412,7 @@
 func (c *Conn) headFailed() {
 	c.limiter.mu.Lock()
 	defer c.limiter.mu.Unlock()
-	c.muted = c.muted || c.element != nil && c.begun
+	c.muted = c.muted || c.element != nil && c.begun && !c.inBody
 }
 
 // costOf is the memory that a part of a head takes.
@@ -324,7 +430,7 @@
 		l.mu.Unlock()
 		return readError(errEvicted)
 	}
-	if c.element == nil {
+	if c.element == nil || c.inBody {
 		if cost > 0 {
 			c.unread = cost
 		}
@@ -339,8 +445,8 @@
 	}
 	if !c.begun {
 		c.begun = true
-		// The time that an idle connection has waited does not count.
-		l.waiting.MoveToBack(c.element)
+		l.stopWaiting(c)
+		l.wait(c, incomplete)
 	}
 	l.add(c, cost)
 	victims, refused := l.makeRoom(c)
@@ -363,7 +469,7 @@
 // it.
 func (l *Limiter) makeRoom(c *Conn) (victims []*Conn, refused bool) {
 	s := c.size()
-	for e := l.waiting.Front(); e != nil && l.exceeded(s, c); {
+	for e := l.waiting[incomplete].Front(); e != nil && l.exceeded(s, c); {
 		other := e.Value.(*Conn)
 		e = e.Next()
 		if other != c && other.cost > 0 && other.size() == s {
--- a/internal/headlimit/headlimit_test.go
+++ b/internal/headlimit/headlimit_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -172,3 +173,54 @@
 		t.Error("a connection was accepted while requests are in progress on all")
 	}
 }
+
+// TestBodiesGiveWay opens a connection while the bodies of requests on all others are held back.
+func TestBodiesGiveWay(t *testing.T) {
+	l := newLimiter(1 << 20)
+	var conns []*caller
+	for range 4 {
+		c := open(t, l)
+		c.send("POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\n")
+		c.state(http.StateActive)
+		c.server.AwaitBody()
+		conns = append(conns, c)
+	}
+	if !conns[1].server.BodyRead() {
+		t.Error("a body was read, but its connection counts as closed")
+	}
+	for range 3 {
+		if open(t, l).server == nil {
+			t.Error("a connection was refused")
+		}
+	}
+	for i, want := range []bool{false, true, false, false} {
+		if got := conns[i].server.BodyRead(); got != want {
+			t.Errorf("connection %d: body read %v, want %v", i, got, want)
+		}
+	}
+}
+
+// TestNewConnectionsHaveTimeForTheirHeads opens connections as fast as the limiter accepts them. Each
+// sends its head at once, and must not be closed before that has been read.
+func TestNewConnectionsHaveTimeForTheirHeads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLimiter(1 << 20)
+		began := time.Now()
+		for range 40 {
+			c := open(t, l)
+			if c.server == nil {
+				t.Fatal("a connection was refused")
+			}
+			go func() {
+				time.Sleep(10 * time.Millisecond)
+				if c.server.Evicted() {
+					t.Error("a connection was closed before its head was read")
+				}
+			}()
+		}
+		if took := time.Since(began); took < 100*time.Millisecond || took > time.Second {
+			t.Errorf("40 connections were accepted in %v", took)
+		}
+		time.Sleep(time.Second)
+	})
+}
--- a/internal/headlimit/tls.go
+++ b/internal/headlimit/tls.go
@@ -59,7 +59,11 @@
 	c.limiter.mu.Lock()
 	defer c.limiter.mu.Unlock()
 	c.limiter.release(c)
-	c.begun = false
+	// Its head is waited for as that of a new connection.
+	if c.begun = false; c.element != nil {
+		c.limiter.stopWaiting(c)
+		c.limiter.wait(c, silent)
+	}
 }
 
 // limitedConn returns the limited connection beneath one that a Limiter has accepted, or nil.
--- a/internal/ingress/filters.go
+++ b/internal/ingress/filters.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-chi/chi/v5"
 
+	"github.com/pimentohinge/pimentohinge/internal/headlimit"
 	"github.com/pimentohinge/pimentohinge/internal/outcome"
 	"github.com/pimentohinge/pimentohinge/internal/problem"
 	"github.com/pimentohinge/pimentohinge/internal/readlimit"
@@ -222,10 +223,17 @@
 	rc := http.NewResponseController(req.w)
 	_ = rc.SetReadDeadline(time.Now().Add(min(bodyTimeout, time.Until(req.deadline))))
 	req.requestMemory = s.requestBodies.Reserve()
+	conn := headlimit.FromContext(req.r.Context())
+	if conn != nil {
+		conn.AwaitBody()
+	}
 	body, err := req.requestMemory.ReadAll(http.MaxBytesReader(req.w, req.r.Body, int64(limit)), req.r.ContentLength, int64(limit))
 	if err == nil {
 		_ = rc.SetReadDeadline(time.Time{})
 	}
+	if conn != nil && !conn.BodyRead() {
+		return refuse(outcome.CallerGone, "closed for other connections while reading the request body", 0)
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.Is(err, readlimit.ErrBudgetExhausted):
--- a/test/headflood/crowd_test.go
+++ b/test/headflood/crowd_test.go
@@ -57,7 +57,7 @@
 	for member := range p.size {
 		first.Add(1)
 		r.members.Go(func() {
-			for round := range p.rounds {
+			for round := 0; round < p.rounds && !r.hasEnded(); round++ {
 				p.visit(r, member, round, sync.OnceFunc(func() {
 					if round == 0 {
 						first.Done()
@@ -114,13 +114,20 @@
 func (r *crowdRun) add(conn net.Conn) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	select {
-	case <-r.ended:
+	if r.hasEnded() {
 		_ = conn.Close()
 		return false
-	default:
-		r.conns[conn] = true
+	}
+	r.conns[conn] = true
+	return true
+}
+
+func (r *crowdRun) hasEnded() bool {
+	select {
+	case <-r.ended:
 		return true
+	default:
+		return false
 	}
 }
 
