standin: the limits of the other listeners

What operators saw: the stand-in of the platform, which the examples use, ended by a crowd at its listener.

Cause: a head could have 1 MiB, and neither heads nor connections had a limit.

--- a/cmd/pimentohinge/standin.go
+++ b/cmd/pimentohinge/standin.go
@@ -11,6 +11,8 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/rotisserie/eris"
 
+	"github.com/pimentohinge/pimentohinge/internal/headlimit"
+	"github.com/pimentohinge/pimentohinge/internal/machine"
 	"github.com/pimentohinge/pimentohinge/internal/network"
 	"github.com/pimentohinge/pimentohinge/internal/standin/enginesim"
 	"github.com/pimentohinge/pimentohinge/internal/standin/ledger"
@@ -22,23 +24,23 @@
 
 func init() {
 	register(command{group: "standin", name: "platform", help: "Run a stand-in for the platform's object service.", setup: func(c *kingpin.CmdClause) func() error {
-		listen := c.Flag("listen", "Address to listen on, as IP:port.").Required().String()
-		return func() error { return serveUntilSignal(*listen, store.New().Handler(), nil) }
+		l := listenFlags(c)
+		return func() error { return l.serveUntilSignal(store.New().Handler(), nil) }
 	}})
 	register(command{group: "standin", name: "service", help: "Run a stand-in for a plain service that records entries.", setup: func(c *kingpin.CmdClause) func() error {
-		listen := c.Flag("listen", "Address to listen on, as IP:port.").Required().String()
+		listen := listenFlags(c)
 		deduplicates := c.Flag("deduplicates", "Run the calls of each idempotency key at most once.").Bool()
 		return func() error {
 			l := ledger.New()
 			l.Deduplicates = *deduplicates
-			return serveUntilSignal(*listen, l.Handler(), nil)
+			return listen.serveUntilSignal(l.Handler(), nil)
 		}
 	}})
 	register(command{group: "standin", name: "engine", help: "Run a stand-in for a model engine.", setup: setupStandinEngine})
 }
 
 func setupStandinEngine(c *kingpin.CmdClause) func() error {
-	listen := c.Flag("listen", "Address to listen on, as IP:port.").Required().String()
+	listen := listenFlags(c)
 	name := c.Flag("name", "Name of the engine.").Required().String()
 	models := c.Flag("model", "Name of a loaded model; may be repeated.").Required().Strings()
 	blocks := c.Flag("blocks", "Number of KV cache blocks.").Default("2048").Int()
@@ -54,19 +56,38 @@
 		engine := llm.New(llm.Options{
 			Name: *name, Models: *models, Model: modelOptions, ReportLag: *lag, CacheEventLag: *lag, ChecksFencing: *checksFencing,
 		})
-		return serveUntilSignal(*listen, engine.Handler(), engine.Run)
+		return listen.serveUntilSignal(engine.Handler(), engine.Run)
+	}
+}
+
+// standinListener is the address of a stand-in and what its process may take.
+type standinListener struct {
+	addr                     *string
+	memoryMb, maxDescriptors *int
+}
+
+func listenFlags(c *kingpin.CmdClause) standinListener {
+	return standinListener{
+		addr:           c.Flag("listen", "Address to listen on, as IP:port.").Required().String(),
+		memoryMb:       c.Flag("memory-mb", "Memory of the process in megabytes; 0 means that of the machine.").Default("0").Int(),
+		maxDescriptors: c.Flag("max-descriptors", "Descriptors of the process; 0 means its limit on open files.").Default("0").Int(),
 	}
 }
 
 // serveUntilSignal serves HTTP until SIGTERM or SIGINT. If background is not nil,
 // it runs in a goroutine with a context that ends at the signal.
-func serveUntilSignal(addr string, h http.Handler, background func(context.Context)) error {
+func (l standinListener) serveUntilSignal(h http.Handler, background func(context.Context)) error {
+	if *l.memoryMb < 0 || *l.maxDescriptors < 0 {
+		return &exitError{code: exitUsage, err: eris.New("--memory-mb and --max-descriptors must not be negative")}
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	ln, err := network.TCP{}.Listen(addr)
+	ln, err := network.TCP{}.Listen(*l.addr)
 	if err != nil {
 		return eris.Wrap(err, "listen")
 	}
+	m := machine.Detect().With(*l.memoryMb, *l.maxDescriptors)
+	m.LimitGC()
 	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
 	if background != nil {
 		go background(ctx)
@@ -76,7 +97,7 @@
 		<-ctx.Done()
 		_ = server.Close()
 	}()
-	if err := server.Serve(ln); err != nil && ctx.Err() == nil {
+	if err := headlimit.New(m.Callers()).Serve(server, ln, nil); err != nil && ctx.Err() == nil {
 		return eris.Wrap(err, "serve")
 	}
 	return nil
