--- a/test/headflood/doors_test.go
+++ b/test/headflood/doors_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -59,22 +60,28 @@
 	}
 }
 
-// TestCrowdsAtAllListenersAtOnce lets crowds arrive at all listeners of a process at the same time.
+// TestCrowdsAtAllListenersAtOnce lets crowds arrive at all listeners of a process at the same time, with
+// as many descriptors as keep connections few and with enough for all of them.
 func TestCrowdsAtAllListenersAtOnce(t *testing.T) {
-	v := startVM(t, build(t), maxDescriptors)
-	var crowds []*crowdRun
-	for _, door := range internalDoors {
-		crowds = append(crowds, door.plan.run())
-	}
-	plan := crowdPlan{addr: callers, size: crowdSize, rounds: crowdRounds, write: heldHead}
-	crowds = append(crowds, plan.run())
-	plan.write = heldBody
-	crowds = append(crowds, plan.run())
-	for _, crowd := range crowds {
-		crowd.end()
+	program := build(t)
+	for _, descriptors := range []int{maxDescriptors, manyDescriptors} {
+		t.Run(strconv.Itoa(descriptors), func(t *testing.T) {
+			v := startVM(t, program, descriptors)
+			var crowds []*crowdRun
+			for _, door := range internalDoors {
+				crowds = append(crowds, door.plan.run())
+			}
+			plan := crowdPlan{addr: callers, size: crowdSize, rounds: crowdRounds, write: heldHead}
+			crowds = append(crowds, plan.run())
+			plan.write = heldBody
+			crowds = append(crowds, plan.run())
+			for _, crowd := range crowds {
+				crowd.end()
+			}
+			checkServes(t, "all")
+			v.checkAndKill(limits{memoryMb, descriptors})
+		})
 	}
-	checkServes(t, "all")
-	v.checkAndKill(machine)
 }
 
 // heldBody writes a request with a body as long as the configuration permits, without its last byte.
--- a/test/headflood/serve_test.go
+++ b/test/headflood/serve_test.go
@@ -16,6 +16,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -253,6 +254,33 @@
 	}
 }
 
+// TestCrowdsAtAllListenersOfServeAtOnce lets crowds arrive at all listeners at the same time.
+func TestCrowdsAtAllListenersOfServeAtOnce(t *testing.T) {
+	program := build(t)
+	for _, descriptors := range []int{maxDescriptors, manyDescriptors} {
+		t.Run(strconv.Itoa(descriptors), func(t *testing.T) {
+			v := startServe(t, program, nil, descriptors)
+			var crowds []*crowdRun
+			for _, plan := range []crowdPlan{
+				{addr: serveOperators, size: crowdSize, rounds: crowdRounds, write: heldServeHead},
+				{addr: servePeers, size: crowdSize, rounds: crowdRounds, write: heldServeHead},
+				{addr: servePeers, size: helloCrowd, rounds: crowdRounds, write: heldHello},
+				{addr: serveCallers, size: crowdSize, rounds: crowdRounds, write: heldServeHead},
+				{addr: serveCallers, size: crowdSize, rounds: 1, write: heldServeBody},
+				{addr: serveCallers, size: crowdSize, rounds: 1, write: manyMessages},
+				{addr: serveCallers, size: crowdSize, rounds: 1, unread: true, write: unreadResponses},
+			} {
+				crowds = append(crowds, plan.run())
+			}
+			for _, crowd := range crowds {
+				crowd.end()
+			}
+			v.check()
+			v.checkAndKill(limits{memoryMb, descriptors})
+		})
+	}
+}
+
 // TestCrowdsAtServeWithTLS does the same on listeners with TLS.
 func TestCrowdsAtServeWithTLS(t *testing.T) {
 	program := build(t)
