dispatch: a withdrawn model service no longer ends the VM

What callers saw: a configuration that does not list a model service any more ended every VM at which requests waited for an engine of it; all its channels broke.

Cause: a request waits as long as its service has an engine. The change took the description of the engine from the servers of the service, and the next pass over the waiting requests read it (nil dereference in roomFor).

Change: a server of a service that is not configured any more remains the engine that it is, so that the requests which wait are placed as before or refused when their time is up. If the service is configured as a plain one, the requests need not wait.

Evidence: TestConfigurationWithoutTheServiceOfWaitingRequests panics before.

--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -156,7 +156,7 @@
 	case ServicesChanged:
 		c.services = msg.Services
 		for _, srv := range c.servers {
-			srv.engine = msg.Services[srv.Service].Engine
+			srv.engine = c.engineOf(srv, srv.Service)
 		}
 	case ServersChanged:
 		c.updateServers(now, msg)
@@ -215,6 +215,15 @@
 
 func (c *Core) emit(action Action) { c.actions = append(c.actions, action) }
 
+// engineOf returns the description of a server's engine; nil for a plain service. A server whose service
+// is not configured any more remains the engine that it is: requests may still wait for it.
+func (c *Core) engineOf(srv *server, service string) *routing.Engine {
+	if configured, ok := c.services[service]; ok || srv.Service != service {
+		return configured.Engine
+	}
+	return srv.engine
+}
+
 func (c *Core) updateServers(now time.Time, msg ServersChanged) {
 	for _, update := range msg.Changed {
 		srv, known := c.servers[update.ID]
@@ -232,7 +241,8 @@
 			delete(c.failing, update.ID)
 		}
 		wasLeaving := srv.Leaving
-		srv.Server, srv.engine, srv.proximity = update, c.services[update.Service].Engine, c.proximityOf(update.DataCentre)
+		srv.engine = c.engineOf(srv, update.Service)
+		srv.Server, srv.proximity = update, c.proximityOf(update.DataCentre)
 		srv.region = c.opts.Regions[update.DataCentre]
 		srv.Leaving = srv.Leaving || wasLeaving
 		if srv.Leaving {
--- a/internal/control/dispatch/waiting.go
+++ b/internal/control/dispatch/waiting.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"strconv"
 	"time"
@@ -234,8 +235,12 @@
 }
 
 // roomFor returns how many requests like the given one an engine has room for: in its memory, in
-// its batch, and among the prompts that it has to read.
+// its batch, and among the prompts that it has to read. A server that has become one of a plain service
+// has room for all that still wait.
 func (c *Core) roomFor(now time.Time, s *server, req *request) int {
+	if s.engine == nil {
+		return math.MaxInt32
+	}
 	load := c.estimateLoad(now, s)
 	requests := load.OwnRequests + load.OtherRequests
 	capacity := s.engine.CapacityTokens
--- a/internal/control/dispatch/waiting_test.go
+++ b/internal/control/dispatch/waiting_test.go
@@ -10,6 +10,7 @@
 	"github.com/pimentohinge/pimentohinge/internal/backend"
 	"github.com/pimentohinge/pimentohinge/internal/control/dispatch"
 	"github.com/pimentohinge/pimentohinge/internal/outcome"
+	"github.com/pimentohinge/pimentohinge/internal/routing"
 )
 
 const (
@@ -273,6 +274,44 @@
 	}
 }
 
+// TestConfigurationWithoutTheServiceOfWaitingRequests withdraws the service for whose engine requests
+// wait, or makes it a plain one.
+func TestConfigurationWithoutTheServiceOfWaitingRequests(t *testing.T) {
+	const requests = 20
+	for _, c := range []struct {
+		name     string
+		services map[string]routing.Service
+		// placesAll is set if the requests need not wait any more.
+		placesAll bool
+	}{
+		{"withdrawn", map[string]routing.Service{}, false},
+		{"plain", map[string]routing.Service{"engine": {Name: "engine"}}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleetSim(t, 1, 0)
+			f.setServers(servers("engine", "a"))
+			for id := range uint64(requests) {
+				f.place(0, longRequest(f.now, id+1))
+			}
+			before := len(f.running[0])
+			if before == requests {
+				t.Fatal("no request waits")
+			}
+			f.step(0, dispatch.ServicesChanged{Services: c.services})
+			// The entry of the server is read again.
+			f.setServers(servers("engine", "a"))
+			f.advance(100 * time.Millisecond)
+			if placed := len(f.running[0]); c.placesAll && placed != requests || !c.placesAll && placed > before+3 {
+				t.Errorf("%d of %d requests run after the change, %d before", placed, requests, before)
+			}
+			f.advance(4 * longTarget)
+			if len(f.started)+len(f.refused) != requests {
+				t.Errorf("%d requests started and %d were refused of %d", len(f.started), len(f.refused), requests)
+			}
+		})
+	}
+}
+
 // TestQuarantineEndsWaiting lets a request wait while engines crash on a segment of its prompt.
 func TestQuarantineEndsWaiting(t *testing.T) {
 	core := newCrashCore()
