headlimit: connections with TLS have 200 ms before they give way

A handshake takes a round trip or two, which over the internet is more than the 20 ms that are enough for a head. The package comment speaks of clients of any listener.

--- a/internal/headlimit/headlimit.go
+++ b/internal/headlimit/headlimit.go
@@ -1,12 +1,12 @@
-// Package headlimit bounds the connections of callers and the memory that the heads of their
-// requests take together, from the first byte of a head to the end of its request.
+// Package headlimit bounds the connections of the clients of a listener, and the memory that the heads
+// of their requests take together, from the first byte of a head to the end of its request.
 //
-// Load pattern: callers that open many connections and send heads of legal size made of very
-// many short lines, each of which takes many times its length in memory, and that hold back the
-// end. Connections whose head is not complete give way first, the oldest of them before the
-// others: an ordinary caller sends its head at once, and gets the time to do so however fast others
-// open connections. Small heads have a part of the memory of
-// their own, so that large ones do not keep them out.
+// Load pattern: clients that open many connections and send heads of legal size made of very many
+// short lines, each of which takes many times its length in memory, and that hold back the end.
+// Connections whose request is not complete give way first, the oldest of them before the others: an
+// ordinary client sends its head at once, and gets the time to do so however fast others open
+// connections. Small heads have a part of the memory of their own, so that large ones do not keep
+// them out.
 package headlimit
 
 import (
@@ -30,8 +30,8 @@
 	smallHeadBytes = 32 << 10
 	// refusalTimeout bounds writing a refusal.
 	refusalTimeout = 100 * time.Millisecond
-	// minHeadWait and minHandshakeWait are the time that a connection has to send its head, or to prove
-	// who it is, before it may be closed for a new one.
+	// minHeadWait is the time that a connection has to send its head before it may be closed for a new
+	// one, minHandshakeWait that where round trips come first.
 	minHeadWait      = 20 * time.Millisecond
 	minHandshakeWait = 200 * time.Millisecond
 )
@@ -69,6 +69,9 @@
 // Limiter is the limit for all connections of a listener. It is safe for concurrent use.
 type Limiter struct {
 	opts Options
+	// minWait is the time that a connection has for its head, or for a handshake, before it may be
+	// closed for a new one. It does not change once connections are accepted.
+	minWait time.Duration
 
 	mu sync.Mutex
 	// conns counts the open connections. waiting holds those that wait for a request or the rest of
@@ -106,7 +109,10 @@
 
 // New returns a limiter without connections.
 func New(opts Options) *Limiter {
-	l := &Limiter{opts: opts, ended: make(chan struct{}, 1)}
+	l := &Limiter{opts: opts, minWait: minHeadWait, ended: make(chan struct{}, 1)}
+	if opts.Handshakes {
+		l.minWait = minHandshakeWait
+	}
 	for i := range l.waiting {
 		l.waiting[i] = list.New()
 	}
@@ -215,7 +221,7 @@
 		if oldest == nil {
 			continue
 		}
-		at := oldest.waitsSince.Add(l.minWait())
+		at := oldest.waitsSince.Add(l.minWait)
 		if !now.Before(at) {
 			return oldest, time.Time{}
 		}
@@ -237,15 +243,6 @@
 	return nil
 }
 
-// minWait is the time that a connection has for its head, or for a handshake, before it may be closed
-// for a new one.
-func (l *Limiter) minWait() time.Duration {
-	if l.opts.Handshakes {
-		return minHandshakeWait
-	}
-	return minHeadWait
-}
-
 // evict removes a connection from the limiter. The caller closes it without holding mu.
 func (l *Limiter) evict(c *Conn) {
 	c.evicted, c.muted = true, true
--- a/internal/headlimit/server.go
+++ b/internal/headlimit/server.go
@@ -12,6 +12,9 @@
 // not nil.
 func (l *Limiter) Serve(server *http.Server, ln net.Listener, config *tls.Config) error {
 	l.Attach(server)
+	if config != nil {
+		l.minWait = minHandshakeWait
+	}
 	return server.Serve(&listener{Listener: ln, limiter: l, config: config})
 }
 
