caller, headlimit: what all crowds at serve take together fits into the machine

What callers saw: crowds at all listeners of serve at once took it beyond its memory now and then, beside load.

Cause: the shares were counted too low, and garbage not at all. A connection of serve with a call in progress takes more than 32 KiB; while a body grows both blocks exist; decoding was reserved after the body had been read; and a connection that held back a body of 1 MiB gave way after 20 ms, so that bodies were allocated, dropped and allocated again faster than the garbage collector runs.

Change: connections of serve count 64 KiB. Bodies, and responses, take 1/8 of the memory instead of 1/6, and growth counts both blocks. Decoding has a budget of its own, 1/16, which a body of known length needs before it is read; a single body is always decoded. A connection has a second for each MiB of a body that it has sent, before it gives way. The runtime's soft limit is 60 % of what the program leaves, 70 before.

--- a/internal/caller/filters.go
+++ b/internal/caller/filters.go
@@ -118,10 +118,8 @@
 	hashedPrefixBytes = 256
 	// maxSegments limits the parts of a prompt that are tracked.
 	maxSegments = 32
-	// decodeFactor is the memory that decoding a body takes, as a multiple of its length, and
-	// promptCopies the copies of a prompt that are kept until the request ends.
+	// decodeFactor is the memory that decoding a body takes, as a multiple of its length.
 	decodeFactor = 16
-	promptCopies = 2
 )
 
 // decodeModel decodes a completion or chat request and determines its service.
@@ -180,7 +178,8 @@
 	if body.ServiceTier == "flex" {
 		req.model.class = control.ClassBatch
 	}
-	req.memory.Keep(promptCopies * int64(len(prompt)))
+	req.decoding.Release()
+	req.memory.Keep(int64(len(prompt)))
 	req.timeline = f.s.opts.Incidents.Start(req.id, req.workspace.Name, req.service.Name)
 	req.timeline.SetRevision(req.state.Number)
 	return outcome.Result{}, true
@@ -216,11 +215,17 @@
 			return outcome.Refuse(outcome.BadRequest, "Content-Type must be application/json"), false
 		}
 	}
+	// A body of known length is refused before it is read.
+	length := max(0, min(req.r.ContentLength, int64(s.opts.Limits.BodyBytes)))
+	req.decoding = s.opts.Decoding.Reserve()
+	if !req.decoding.AddOrAlone(decodeFactor * length) {
+		return refuseFull(req), false
+	}
 	body, o, ok := s.readBody(req)
 	if !ok {
 		return o, false
 	}
-	if !req.memory.AddOrAlone(decodeFactor * int64(len(body))) {
+	if !req.decoding.AddOrAlone(decodeFactor * (int64(len(body)) - length)) {
 		return refuseFull(req), false
 	}
 	if err := json.Unmarshal(body, v); err != nil {
--- a/internal/headlimit/headlimit.go
+++ b/internal/headlimit/headlimit.go
@@ -34,6 +34,11 @@
 	// one, minHandshakeWait that where round trips come first.
 	minHeadWait      = 20 * time.Millisecond
 	minHandshakeWait = 200 * time.Millisecond
+	// minBodyRate is the rate in bytes a second at which a body must have been sent for its connection
+	// not to give way.
+	minBodyRate = 1 << 20
+	// maxLooked bounds the connections that are looked at for one that gives way.
+	maxLooked = 64
 )
 
 var (
@@ -91,8 +96,10 @@
 const (
 	// silent: for the first byte of its first request.
 	silent stage = iota
-	// incomplete: for the rest of a request, or of a handshake.
+	// incomplete: for the rest of a head, or of a handshake.
 	incomplete
+	// inBody: for the rest of the body of a request.
+	inBody
 	// idle: for the next request.
 	idle
 	stages
@@ -144,8 +151,8 @@
 	stage   stage
 	// waitsSince is the time from which on it has had time to send what it waits for.
 	waitsSince time.Time
-	// inBody is set while it is there for the body of a request.
-	inBody bool
+	// bodyBytes is the part of the body of a request that has been read, while it waits for the rest.
+	bodyBytes int64
 	// cost is the memory of the head, and begun set when some of it has been read.
 	cost  int64
 	begun bool
@@ -212,35 +219,39 @@
 }
 
 // connToClose returns the connection that gives way to a new one: the oldest one whose request is
-// incomplete, else one that has sent nothing yet, if it has waited for minWait; else the oldest idle
+// incomplete, else one that has sent nothing yet, if it has waited long enough; else the oldest idle
 // one, if there are more of these than of the former. Otherwise it returns the time at which a
 // connection will have waited long enough, which is zero if none waits.
 func (l *Limiter) connToClose(now time.Time) (victim *Conn, readyAt time.Time) {
-	for _, stage := range []stage{incomplete, silent} {
-		oldest := l.oldest(stage)
-		if oldest == nil {
-			continue
-		}
-		at := oldest.waitsSince.Add(l.minWait)
-		if !now.Before(at) {
-			return oldest, time.Time{}
-		}
-		if readyAt.IsZero() || at.Before(readyAt) {
-			readyAt = at
+	for _, stage := range []stage{incomplete, inBody, silent} {
+		looked := 0
+		for e := l.waiting[stage].Front(); e != nil && looked < maxLooked; e = e.Next() {
+			looked++
+			c := e.Value.(*Conn)
+			at := l.givesWayAt(c)
+			if !now.Before(at) {
+				return c, time.Time{}
+			}
+			if readyAt.IsZero() || at.Before(readyAt) {
+				readyAt = at
+			}
+			if stage != inBody {
+				break
+			}
 		}
 	}
-	if l.waiting[idle].Len() > l.waiting[incomplete].Len()+l.waiting[silent].Len() {
-		return l.oldest(idle), time.Time{}
+	if l.waiting[idle].Len() > l.waiting[incomplete].Len()+l.waiting[inBody].Len()+l.waiting[silent].Len() {
+		e := l.waiting[idle].Front()
+		return e.Value.(*Conn), time.Time{}
 	}
 	return nil, readyAt
 }
 
-// oldest returns the connection that has been in a stage for longest, or nil.
-func (l *Limiter) oldest(stage stage) *Conn {
-	if e := l.waiting[stage].Front(); e != nil {
-		return e.Value.(*Conn)
-	}
-	return nil
+// givesWayAt returns the time from which on a connection that is not idle may be closed for a new one.
+// One that has sent much of a body has more time for the rest: the memory of the body is not free
+// until the garbage collector has run.
+func (l *Limiter) givesWayAt(c *Conn) time.Time {
+	return c.waitsSince.Add(l.minWait + time.Duration(c.bodyBytes)*time.Second/minBodyRate)
 }
 
 // evict removes a connection from the limiter. The caller closes it without holding mu.
@@ -316,8 +327,8 @@
 	c.limiter.mu.Lock()
 	defer c.limiter.mu.Unlock()
 	if c.element == nil && !c.uncounted {
-		c.inBody, c.begun = true, true
-		c.limiter.wait(c, incomplete)
+		c.bodyBytes, c.begun = 0, true
+		c.limiter.wait(c, inBody)
 	}
 }
 
@@ -325,13 +336,15 @@
 func (c *Conn) BodyRead() bool {
 	c.limiter.mu.Lock()
 	defer c.limiter.mu.Unlock()
-	if c.inBody {
-		c.inBody = false
+	if c.awaitsBody() {
 		c.limiter.stopWaiting(c)
 	}
+	c.bodyBytes = 0
 	return !c.evicted
 }
 
+func (c *Conn) awaitsBody() bool { return c.element != nil && c.stage == inBody }
+
 // Established records that the client of a hijacked connection has proven who it is. The connection
 // does not count any more.
 func (c *Conn) Established() {
@@ -372,6 +385,7 @@
 		if err := c.charge(cost, refuse); err != nil {
 			return 0, err
 		}
+		c.countBody(n)
 	}
 	if err != nil {
 		c.headFailed()
@@ -409,7 +423,16 @@
 func (c *Conn) headFailed() {
 	c.limiter.mu.Lock()
 	defer c.limiter.mu.Unlock()
-	c.muted = c.muted || c.element != nil && c.begun && !c.inBody
+	c.muted = c.muted || c.element != nil && c.begun && !c.awaitsBody()
+}
+
+// countBody counts bytes that were read, if they are part of a body.
+func (c *Conn) countBody(n int) {
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	if c.awaitsBody() {
+		c.bodyBytes += int64(n)
+	}
 }
 
 // costOf is the memory that a part of a head takes.
@@ -427,7 +450,7 @@
 		l.mu.Unlock()
 		return readError(errEvicted)
 	}
-	if c.element == nil || c.inBody {
+	if c.element == nil || c.awaitsBody() {
 		if cost > 0 {
 			c.unread = cost
 		}
--- a/internal/headlimit/headlimit_test.go
+++ b/internal/headlimit/headlimit_test.go
@@ -224,3 +224,28 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// TestBodiesThatAreSentHaveTime holds back the end of a long body and all of short ones. The long one,
+// of which much has been sent, does not give way before the others.
+func TestBodiesThatAreSentHaveTime(t *testing.T) {
+	l := newLimiter(1 << 20)
+	var conns []*caller
+	for i := range 4 {
+		c := open(t, l)
+		c.send("POST / HTTP/1.1\r\nContent-Length: 1000000\r\n\r\n")
+		c.state(http.StateActive)
+		c.server.AwaitBody()
+		if i == 0 {
+			c.send(strings.Repeat("x", 900_000))
+		}
+		conns = append(conns, c)
+	}
+	for range 3 {
+		open(t, l)
+	}
+	for i, want := range []bool{true, false, false, false} {
+		if got := conns[i].server.BodyRead(); got != want {
+			t.Errorf("connection %d: body read %v, want %v", i, got, want)
+		}
+	}
+}
--- a/internal/headlimit/tls.go
+++ b/internal/headlimit/tls.go
@@ -40,6 +40,7 @@
 		if err := s.conn.charge(costOf(p[:n]), s.refuse); err != nil {
 			return 0, err
 		}
+		s.conn.countBody(n)
 	}
 	if err != nil {
 		s.conn.headFailed()
--- a/internal/machine/machine.go
+++ b/internal/machine/machine.go
@@ -3,6 +3,7 @@
 package machine
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"runtime/debug"
@@ -21,12 +22,12 @@
 	// internalDivisor limits the heads at each other listener, and the connections there, to 1/64 of
 	// the memory each.
 	internalDivisor = 64
-	// bodiesDivisor limits request bodies that are buffered to one sixth of the memory, and response
-	// bodies to another sixth.
-	bodiesDivisor = 6
+	// bodiesDivisor limits request bodies that are buffered to one eighth of the memory, and response
+	// bodies to another eighth.
+	bodiesDivisor = 8
 	// recordsDivisor limits each kind of record of requests that have ended to 1/16 of the memory.
 	recordsDivisor = 16
-	// connBytes is the memory of one connection without its requests.
+	// connBytes is the memory of one connection without the heads and bodies of its requests.
 	connBytes = 32 << 10
 )
 
@@ -58,6 +59,9 @@
 	Bytes int64
 	// Descriptors is the number of descriptors; 0 means that only the memory limits connections.
 	Descriptors int
+	// ConnBytes is the memory of one connection of a caller without the heads and bodies of its
+	// requests, but with the connection to a backend server; 0 means 32 KiB.
+	ConnBytes int64
 }
 
 // With returns the machine with the given memory in megabytes and descriptors in place of its own,
@@ -77,7 +81,7 @@
 	// of what the Go runtime takes, as a share of the rest of the memory; near it the garbage collector
 	// runs more often. The runtime gets 1/minGCDivisor of the memory at least.
 	programBytes = 16 << 20
-	gcPercent    = 70
+	gcPercent    = 60
 	minGCDivisor = 4
 )
 
@@ -86,7 +90,8 @@
 	debug.SetMemoryLimit(max(m.Bytes/minGCDivisor, (m.Bytes-programBytes)/100*gcPercent))
 }
 
-// RecordBytes returns the memory for each kind of record that is kept of requests that have ended.
+// RecordBytes returns the memory for each kind of record that is kept of requests that have ended, and
+// for decoding request bodies.
 func (m Machine) RecordBytes() int64 { return m.Bytes / recordsDivisor }
 
 // BodyBytes returns the memory for request bodies, and for response bodies.
@@ -123,7 +128,7 @@
 
 // conns returns the number of connections that fit into a part of the memory and of the descriptors.
 func (m Machine) conns(memoryDivisor int64, share int) int {
-	conns := max(minConns, int(m.Bytes/memoryDivisor/connBytes))
+	conns := max(minConns, int(m.Bytes/memoryDivisor/cmp.Or(m.ConnBytes, connBytes)))
 	if m.Descriptors > 0 {
 		conns = min(conns, max(minConns, (m.Descriptors-reservedDescriptors)/share))
 	}
--- a/internal/readlimit/readlimit.go
+++ b/internal/readlimit/readlimit.go
@@ -141,11 +141,13 @@
 	for {
 		if len(out) == cap(out) {
 			// One byte beyond the limit shows that a body is too long.
-			grown := min(max(GrantedBytes, 2*cap(out)), int(limit)+1)
-			if !r.grow(int64(cap(out)), int64(grown)) {
+			old, grown := int64(cap(out)), min(max(GrantedBytes, 2*cap(out)), int(limit)+1)
+			if !r.grow(0, int64(grown)) {
 				return out, ErrBudgetExhausted
 			}
 			out = append(make([]byte, 0, grown), out...)
+			// Both blocks exist while the bytes are copied.
+			r.grow(old, 0)
 		}
 		n, err := body.Read(out[len(out):cap(out)])
 		out = out[:len(out)+n]
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -44,6 +44,9 @@
 	timelineBytes      = 4 << 10 // the memory of a timeline
 	headerTimeout      = 10 * time.Second
 	maxHeaderBytes     = 32 << 10
+	// connBytes is the memory of a caller's connection: with TLS, and a connection of its own to a
+	// backend server for each call.
+	connBytes = 64 << 10
 	// peersTimeout bounds requests of other VMs that do not open a link, and operatorsWriteTimeout the
 	// time until an operator's response is written.
 	peersTimeout          = 5 * time.Second
@@ -148,7 +151,7 @@
 	v.claims = claim.New(v.platform, vmSettings.VM.Name, v.incarnation, v.isRunning)
 	v.callers = caller.New(caller.Options{
 		VM: vmSettings.VM.Name, Limits: vmSettings.Callers, Secret: vmSettings.Peers.Key, Broker: v, Engines: v.engines,
-		Bodies:   readlimit.New(v.machine.BodyBytes()),
+		Bodies: readlimit.New(v.machine.BodyBytes()), Decoding: readlimit.New(v.machine.RecordBytes()),
 		Services: service.New(network.Client(backends), v.machine.BodyBytes()), Claims: v.claims,
 		Tickets:   ticket.New(vmSettings.Peers.Key, vmSettings.VM.Name, v.incarnation, vmMachine.RecordBytes()),
 		Incidents: v.incidents, Log: opts.Log,
@@ -161,7 +164,9 @@
 
 // Machine returns what a process with the given settings may take.
 func Machine(s settings.Settings) machine.Machine {
-	return machine.Detect().With(s.MemoryMb, s.MaxDescriptors)
+	m := machine.Detect().With(s.MemoryMb, s.MaxDescriptors)
+	m.ConnBytes = connBytes
+	return m
 }
 
 // Self returns the name, location and addresses of this VM.
