--- /dev/null
+++ b/internal/headlimit/conn.go
@@ -0,0 +1,223 @@
+package headlimit
+
+import (
+	"bytes"
+	"container/list"
+	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+var (
+	errRefused = eris.New("no memory left for the request head")
+	errEvicted = eris.New("connection closed in favour of others")
+	// errHeadFailed is the error of writing after a failure to read a head.
+	errHeadFailed = eris.New("request head was not read to its end")
+)
+
+// Conn is a connection of a caller. An http.Server must report its states to Limiter.State.
+type Conn struct {
+	net.Conn
+	limiter *Limiter
+
+	// The fields below are protected by limiter.mu. element is its place in limiter.waiting[stage], nil
+	// while a request is in progress.
+	element *list.Element
+	stage   stage
+	// waitsSince is the time from which on it has had time to send what it waits for.
+	waitsSince time.Time
+	// bodyBytes is the part of the body of a request that has been read, while it waits for the rest.
+	bodyBytes int64
+	// cost is the memory of the head, and begun set when some of it has been read.
+	cost  int64
+	begun bool
+	// served is set after the first request.
+	served bool
+	// unread is the cost of what was read last in the previous request: the next head may have
+	// begun in it.
+	unread int64
+	// evicted is set when the limiter closed the connection, uncounted when it does not count any
+	// more, and muted when nothing more may be written as a head could not be read to its end.
+	evicted, uncounted, muted bool
+	// hijacked is set when no further head follows.
+	hijacked bool
+	// encrypted is set when the heads are read by a secureConn, and handshaking until its handshake has
+	// ended. They are not protected by limiter.mu.
+	encrypted, handshaking bool
+}
+
+// AwaitBody records that the handler of a request reads its body. Until BodyRead is called the
+// connection may be closed for another one: a caller that holds back a body keeps others out as one
+// that holds back a head. The request has not run.
+func (c *Conn) AwaitBody() {
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	if c.element == nil && !c.uncounted {
+		c.bodyBytes, c.begun = 0, true
+		c.limiter.wait(c, inBody)
+	}
+}
+
+// BodyRead records that a request has been read. It reports false if the connection was closed before.
+func (c *Conn) BodyRead() bool {
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	if c.awaitsBody() {
+		c.limiter.stopWaiting(c)
+	}
+	c.bodyBytes = 0
+	return !c.evicted
+}
+
+func (c *Conn) awaitsBody() bool { return c.element != nil && c.stage == inBody }
+
+// Established records that the client of a hijacked connection has proven who it is. The connection
+// does not count any more.
+func (c *Conn) Established() {
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	c.limiter.remove(c)
+}
+
+// Close closes the connection. An http.Server does not report the end of hijacked ones.
+func (c *Conn) Close() error {
+	c.limiter.mu.Lock()
+	c.limiter.remove(c)
+	c.limiter.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// Evicted reports whether the limiter has closed the connection.
+func (c *Conn) Evicted() bool {
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	return c.evicted
+}
+
+// Read reads from the connection. It fails once the limiter has closed or refused the connection.
+func (c *Conn) Read(p []byte) (int, error) {
+	if c.encrypted && !c.handshaking {
+		return c.Conn.Read(p)
+	}
+	if err := c.charge(0, nil); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		cost, refuse := costOf(p[:n]), c.refuse
+		if c.handshaking {
+			cost, refuse = handshakeByteFactor*int64(n), nil
+		}
+		if err := c.charge(cost, refuse); err != nil {
+			return 0, err
+		}
+		c.countBody(n)
+	}
+	if err != nil {
+		c.headFailed()
+	}
+	return n, err
+}
+
+// refuse writes the refusal beneath Write.
+func (c *Conn) refuse() {
+	_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout))
+	_, _ = c.Conn.Write(c.limiter.opts.Refusal)
+}
+
+// Write writes to the connection. It fails once reading a head has failed: an http.Server takes
+// the part of a line before the failure for a malformed line and would answer 400, which tells the
+// caller not to send its proper request again.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.limiter.mu.Lock()
+	muted := c.muted
+	c.limiter.mu.Unlock()
+	if muted {
+		return 0, errHeadFailed
+	}
+	return c.Conn.Write(p)
+}
+
+// mute ends writing to the connection.
+func (c *Conn) mute() {
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	c.muted = true
+}
+
+// headFailed records that reading failed, if that was in a head.
+func (c *Conn) headFailed() {
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	c.muted = c.muted || c.element != nil && c.begun && !c.awaitsBody()
+}
+
+// countBody counts bytes that were read, if they are part of a body.
+func (c *Conn) countBody(n int) {
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	if c.awaitsBody() {
+		c.bodyBytes += int64(n)
+	}
+}
+
+// costOf is the memory that a part of a head takes.
+func costOf(part []byte) int64 {
+	separators := bytes.Count(part, []byte{'\n'}) + bytes.Count(part, []byte{','})
+	return int64(len(part))*byteFactor + int64(separators)*separatorBytes
+}
+
+// charge counts a part of a head, and closes other connections or refuses this one if there is
+// no memory for it. refuse writes the refusal; nil writes none.
+func (c *Conn) charge(cost int64, refuse func()) error {
+	l := c.limiter
+	l.mu.Lock()
+	if c.evicted {
+		l.mu.Unlock()
+		return readError(errEvicted)
+	}
+	if c.element == nil || c.awaitsBody() {
+		if cost > 0 {
+			c.unread = cost
+		}
+		l.mu.Unlock()
+		return nil
+	}
+	cost += c.unread
+	c.unread = 0
+	if cost == 0 {
+		l.mu.Unlock()
+		return nil
+	}
+	if !c.begun {
+		c.begun = true
+		l.stopWaiting(c)
+		l.wait(c, incomplete)
+	}
+	l.add(c, cost)
+	victims, refused := l.makeRoom(c)
+	l.mu.Unlock()
+	for _, victim := range victims {
+		_ = victim.Conn.Close()
+	}
+	if refused {
+		if refuse != nil && !c.hijacked {
+			refuse()
+		}
+		c.mute()
+		return readError(errRefused)
+	}
+	return nil
+}
+
+func (c *Conn) size() size {
+	if c.cost > smallHeadBytes {
+		return large
+	}
+	return small
+}
+
+// readError returns an error after which an http.Server closes the connection without a response
+// of its own.
+func readError(err error) error { return &net.OpError{Op: "read", Net: "tcp", Err: err} }
