--- a/internal/machine/machine.go
+++ b/internal/machine/machine.go
@@ -22,9 +22,9 @@
 	// internalDivisor limits the heads at each other listener, and the connections there, to 1/64 of
 	// the memory each.
 	internalDivisor = 64
-	// bodiesDivisor limits request bodies that are buffered to one eighth of the memory, and response
-	// bodies to another eighth.
-	bodiesDivisor = 8
+	// bodiesDivisor limits request bodies that are buffered to one sixth of the memory, and response
+	// bodies to another sixth.
+	bodiesDivisor = 6
 	// recordsDivisor limits each kind of record of requests that have ended to 1/16 of the memory.
 	recordsDivisor = 16
 	// connBytes is the memory of one connection without the heads and bodies of its requests.
@@ -62,6 +62,9 @@
 	// ConnBytes is the memory of one connection of a caller without the heads and bodies of its
 	// requests, but with the connection to a backend server; 0 means 32 KiB.
 	ConnBytes int64
+	// BodiesDivisor is the part of the memory that request bodies may take, and response bodies; 0 means
+	// a sixth.
+	BodiesDivisor int64
 }
 
 // With returns the machine with the given memory in megabytes and descriptors in place of its own,
@@ -95,7 +98,7 @@
 func (m Machine) RecordBytes() int64 { return m.Bytes / recordsDivisor }
 
 // BodyBytes returns the memory for request bodies, and for response bodies.
-func (m Machine) BodyBytes() int64 { return m.Bytes / bodiesDivisor }
+func (m Machine) BodyBytes() int64 { return m.Bytes / cmp.Or(m.BodiesDivisor, bodiesDivisor) }
 
 // ReadBuffer returns the size of the receive buffers of callers' connections; 0 means the system's.
 func (m Machine) ReadBuffer() int {
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -47,6 +47,8 @@
 	// connBytes is the memory of a caller's connection: with TLS, and a connection of its own to a
 	// backend server for each call.
 	connBytes = 64 << 10
+	// bodiesDivisor limits request bodies to one eighth of the memory, and responses to another one.
+	bodiesDivisor = 8
 	// peersTimeout bounds requests of other VMs that do not open a link, and operatorsWriteTimeout the
 	// time until an operator's response is written.
 	peersTimeout          = 5 * time.Second
@@ -165,7 +167,7 @@
 // Machine returns what a process with the given settings may take.
 func Machine(s settings.Settings) machine.Machine {
 	m := machine.Detect().With(s.MemoryMb, s.MaxDescriptors)
-	m.ConnBytes = connBytes
+	m.ConnBytes, m.BodiesDivisor = connBytes, bodiesDivisor
 	return m
 }
 
