Large heads and bodies wait while the heap of the process is full

What callers saw: seven crowds at all listeners of `serve` at once took a VM of 64 MB above its memory when processor time was short, and a VM that is out of memory is lost to all of them.

Cause: the limits count a head until its request ends or its connection is closed for another one, and a body until its request ends. The memory is free only once the goroutine that read it has run again and the garbage collector has passed. Without processor time both come later than the next heads. Ruled out: that the collector does not run (224 to 290 cycles in 7 s), stacks (1 MB).

Change: internal/heapgate. Before a part of a large head or a block of a body of more than 32 KiB is read, the heap with its garbage, what was granted and may not be allocated yet, and the new part must fit into what the runtime should take; otherwise the collector runs and the readers wait in the order of their arrival, a second at most, then they are refused as before. A connection that is closed meanwhile stops waiting. Small heads and bodies do not wait. This holds whatever the scheduler does, as it looks at the heap itself.

--- a/cmd/pimentohinge/gateway.go
+++ b/cmd/pimentohinge/gateway.go
@@ -32,8 +32,9 @@
 	out := logline.NewAsync(os.Stdout)
 	defer out.Close()
 	logger := logline.New(out, config.Log.Level)
-	machine.Machine{}.With(config.MemoryMb, config.MaxDescriptors).LimitGC()
-	server := ingress.New(ingress.Options{Settings: config, Network: network.TCP{}, Log: logger})
+	m := machine.Machine{}.With(config.MemoryMb, config.MaxDescriptors)
+	m.LimitGC()
+	server := ingress.New(ingress.Options{Settings: config, Network: network.TCP{}, Log: logger, Heap: m.Heap()})
 	if err := server.Start(); err != nil {
 		return err
 	}
--- a/cmd/pimentohinge/serve.go
+++ b/cmd/pimentohinge/serve.go
@@ -32,8 +32,9 @@
 	out := logline.NewAsync(os.Stderr)
 	defer out.Close()
 	logger := logline.New(out, config.Log.Level)
-	vm.Machine(config).LimitGC()
-	entryVM := vm.New(vm.Options{Settings: config, Network: network.TCP{}, Log: logger, Seed: rand.Uint64()})
+	m := vm.Machine(config)
+	m.LimitGC()
+	entryVM := vm.New(vm.Options{Settings: config, Network: network.TCP{}, Log: logger, Seed: rand.Uint64(), Heap: m.Heap()})
 	if err := entryVM.Start(); err != nil {
 		return err
 	}
--- a/cmd/pimentohinge/standin.go
+++ b/cmd/pimentohinge/standin.go
@@ -11,7 +11,6 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/rotisserie/eris"
 
-	"github.com/pimentohinge/pimentohinge/internal/headlimit"
 	"github.com/pimentohinge/pimentohinge/internal/machine"
 	"github.com/pimentohinge/pimentohinge/internal/network"
 	"github.com/pimentohinge/pimentohinge/internal/standin/enginesim"
@@ -97,7 +96,8 @@
 		<-ctx.Done()
 		_ = server.Close()
 	}()
-	if err := headlimit.New(m.Callers()).Serve(server, ln, nil); err != nil && ctx.Err() == nil {
+	listeners := machine.Listeners{Heap: m.Heap()}
+	if err := listeners.Add("callers", m.Callers()).Serve(server, ln, nil); err != nil && ctx.Err() == nil {
 		return eris.Wrap(err, "serve")
 	}
 	return nil
--- a/internal/headlimit/conn.go
+++ b/internal/headlimit/conn.go
@@ -32,6 +32,10 @@
 	// cost is the memory of the head, and begun set when some of it has been read.
 	cost  int64
 	begun bool
+	// granted is the memory on the heap for what was read last. gone is not nil while the connection
+	// waits for such memory, and closed when the connection is.
+	granted int64
+	gone    chan struct{}
 	// served is set after the first request.
 	served bool
 	// unread is the cost of what was read last in the previous request: the next head may have
@@ -173,6 +177,7 @@
 func (c *Conn) charge(cost int64, refuse func()) error {
 	l := c.limiter
 	l.mu.Lock()
+	l.settle(c)
 	if c.evicted {
 		l.mu.Unlock()
 		return readError(errEvicted)
@@ -201,6 +206,12 @@
 	for _, victim := range victims {
 		_ = victim.Conn.Close()
 	}
+	if !refused {
+		var err error
+		if refused, err = c.awaitHeap(cost); err != nil {
+			return err
+		}
+	}
 	if refused {
 		if refuse != nil && !c.hijacked {
 			refuse()
@@ -211,6 +222,36 @@
 	return nil
 }
 
+// awaitHeap waits for memory on the heap for a part of a large head. It removes the connection and
+// reports that the head is refused if there is none, and fails if the connection is closed before.
+func (c *Conn) awaitHeap(cost int64) (refused bool, err error) {
+	l := c.limiter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.evicted {
+		return false, readError(errEvicted)
+	}
+	if l.opts.Heap == nil || c.size() == small {
+		return false, nil
+	}
+	gone := make(chan struct{})
+	c.gone = gone
+	l.mu.Unlock()
+	granted := l.opts.Heap.Take(cost, gone)
+	l.mu.Lock()
+	if granted {
+		c.granted = cost
+	}
+	if c.gone == nil {
+		return false, readError(errEvicted)
+	}
+	c.gone = nil
+	if !granted {
+		l.refuse(c)
+	}
+	return !granted, nil
+}
+
 func (c *Conn) size() size {
 	if c.cost > smallHeadBytes {
 		return large
--- a/internal/headlimit/headlimit.go
+++ b/internal/headlimit/headlimit.go
@@ -15,6 +15,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/pimentohinge/pimentohinge/internal/heapgate"
 )
 
 const (
@@ -50,6 +52,8 @@
 	// counts, and may give way to others, until Conn.Established is called. Otherwise it counts, and
 	// does not give way, until it is closed.
 	Handshakes bool
+	// Heap delays reading large heads while the heap of the process is full. It may be nil.
+	Heap *heapgate.Gate
 }
 
 // Counts counts what a Limiter has refused or closed.
@@ -227,6 +231,10 @@
 func (l *Limiter) remove(c *Conn) {
 	l.release(c)
 	l.stopWaiting(c)
+	if c.gone != nil {
+		close(c.gone)
+		c.gone = nil
+	}
 	if !c.uncounted {
 		c.uncounted = true
 		l.conns--
@@ -252,6 +260,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.settle(c)
 	switch state {
 	case http.StateActive:
 		// The head is complete, if only in what was read during the previous request.
@@ -293,14 +302,19 @@
 		}
 	}
 	if l.exceeded(s, c) {
-		c.evicted = true
-		l.counts.RefusedHeads++
-		l.remove(c)
+		l.refuse(c)
 		return victims, true
 	}
 	return victims, false
 }
 
+// refuse removes a connection whose head is refused.
+func (l *Limiter) refuse(c *Conn) {
+	c.evicted = true
+	l.counts.RefusedHeads++
+	l.remove(c)
+}
+
 func (l *Limiter) exceeded(s size, c *Conn) bool {
 	return l.used[s] > l.opts.MemoryBytes/int64(sizes) && l.used[s] > c.cost
 }
@@ -319,3 +333,11 @@
 	l.used[c.size()] -= c.cost
 	c.cost = 0
 }
+
+// settle records that what a connection has read is allocated.
+func (l *Limiter) settle(c *Conn) {
+	if c.granted > 0 {
+		l.opts.Heap.Done(c.granted)
+		c.granted = 0
+	}
+}
--- a/internal/headlimit/headlimit_test.go
+++ b/internal/headlimit/headlimit_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/pimentohinge/pimentohinge/internal/headlimit"
+	"github.com/pimentohinge/pimentohinge/internal/heapgate"
 )
 
 const refusal = "HTTP/1.1 503 Service Unavailable\r\n\r\n"
@@ -253,3 +255,64 @@
 		}
 	}
 }
+
+// TestLargeHeadsAwaitTheHeap sends heads while the heap of the process is full. Small ones are read,
+// large ones once there is room, and refused if there is none.
+func TestLargeHeadsAwaitTheHeap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var heapBytes atomic.Int64
+		heapBytes.Store(1 << 20)
+		l := headlimit.New(headlimit.Options{MaxConns: 4, MemoryBytes: 1 << 20, Refusal: []byte(refusal), Heap: heapgate.New(heapgate.Options{
+			MaxBytes: 1 << 20, HeapBytes: heapBytes.Load, Collect: func() {},
+		})})
+		if !open(t, l).send("GET / HTTP/1.1\r\nHost: a\r\n\r\n") {
+			t.Error("a small head was refused")
+		}
+		refused := open(t, l)
+		if refused.send(shortLines) {
+			t.Error("a large head was read while the heap was full")
+		}
+		if diff := cmp.Diff(refusal, refused.received()); diff != "" {
+			t.Errorf("refusal (-want +got):\n%s", diff)
+		}
+		time.AfterFunc(100*time.Millisecond, func() { heapBytes.Store(0) })
+		read := open(t, l)
+		if !read.send(shortLines) {
+			t.Error("a large head was refused though the heap became free")
+		}
+		for range 20 {
+			read.state(http.StateActive)
+			read.state(http.StateIdle)
+			if !read.send(shortLines) {
+				t.Fatal("the memory that was granted for the heads before was not given back")
+			}
+		}
+		if diff := cmp.Diff(headlimit.Counts{RefusedHeads: 1}, l.Counts()); diff != "" {
+			t.Errorf("counts (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// TestHeadThatAwaitsTheHeapGivesWay closes connections whose heads wait for the heap.
+func TestHeadThatAwaitsTheHeapGivesWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := headlimit.New(headlimit.Options{MaxConns: 1, MemoryBytes: 1 << 20, Refusal: []byte(refusal), Heap: heapgate.New(heapgate.Options{
+			MaxBytes: 1 << 20, HeapBytes: func() int64 { return 1 << 20 }, Collect: func() {},
+		})})
+		waits := open(t, l)
+		ended := make(chan time.Duration, 1)
+		began := time.Now()
+		go func() {
+			waits.send(shortLines)
+			ended <- time.Since(began)
+		}()
+		synctest.Wait()
+		open(t, l)
+		if took := <-ended; took > 100*time.Millisecond || !waits.server.Evicted() {
+			t.Errorf("reading ended after %v, closed %v", took, waits.server.Evicted())
+		}
+		if got := waits.received(); got != "" {
+			t.Errorf("got %q", got)
+		}
+	})
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -19,6 +19,7 @@
 	"github.com/pimentohinge/pimentohinge/internal/control/dispatch"
 	"github.com/pimentohinge/pimentohinge/internal/control/poison"
 	"github.com/pimentohinge/pimentohinge/internal/control/stopping"
+	"github.com/pimentohinge/pimentohinge/internal/heapgate"
 	"github.com/pimentohinge/pimentohinge/internal/machine"
 	"github.com/pimentohinge/pimentohinge/internal/network"
 	"github.com/pimentohinge/pimentohinge/internal/readlimit"
@@ -43,6 +44,9 @@
 	Settings settings.Gateway
 	Network  network.Network
 	Log      *log.Logger
+	// Heap delays reading large heads and long bodies while the heap of the process is full. It may be
+	// nil.
+	Heap *heapgate.Gate
 }
 
 // Server is the proxy of one entry VM.
@@ -111,8 +115,9 @@
 	bodyMemory := vmMachine.BodyBytes()
 	s := &Server{
 		opts: opts, log: opts.Log, machine: vmMachine, ctx: ctx, cancel: cancel, abortCtx: abortCtx, abort: abort, pool: replica.New(network.WithReadBuffer(opts.Network, vmMachine.ReadBuffer())),
-		metrics: newMetrics(), streams: map[uint64]*stream{}, servers: map[string]backend.Server{},
-		requestBodies: readlimit.New(bodyMemory), responseBodies: readlimit.New(bodyMemory),
+		listeners: machine.Listeners{Heap: opts.Heap},
+		metrics:   newMetrics(), streams: map[uint64]*stream{}, servers: map[string]backend.Server{},
+		requestBodies: readlimit.New(bodyMemory, opts.Heap), responseBodies: readlimit.New(bodyMemory, opts.Heap),
 		drains: map[backend.Instance]*serverDrain{}, checks: map[backend.Instance]bool{}, leaving: map[backend.Instance]bool{}, notBefore: map[backend.Instance]time.Time{}, cancels: map[uint64]context.CancelCauseFunc{},
 		successLog: rate.NewLimiter(successLinesPerSecond, 2*successLinesPerSecond),
 	}
--- a/internal/machine/listeners.go
+++ b/internal/machine/listeners.go
@@ -7,11 +7,15 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/pimentohinge/pimentohinge/internal/headlimit"
+	"github.com/pimentohinge/pimentohinge/internal/heapgate"
 )
 
 // Listeners holds the limiters of the listeners of a process, and reports what they refuse and close.
 // It is safe for concurrent use.
 type Listeners struct {
+	// Heap is the gate for large heads at all listeners. It may be nil.
+	Heap *heapgate.Gate
+
 	mu   sync.Mutex
 	list []*namedLimiter
 }
@@ -25,6 +29,7 @@
 
 // Add returns a new limiter for the listener with the given name.
 func (l *Listeners) Add(listener string, options headlimit.Options) *headlimit.Limiter {
+	options.Heap = l.Heap
 	limiter := headlimit.New(options)
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/machine/machine.go
+++ b/internal/machine/machine.go
@@ -9,6 +9,7 @@
 	"runtime/debug"
 
 	"github.com/pimentohinge/pimentohinge/internal/headlimit"
+	"github.com/pimentohinge/pimentohinge/internal/heapgate"
 	"github.com/pimentohinge/pimentohinge/internal/outcome"
 	"github.com/pimentohinge/pimentohinge/internal/problem"
 )
@@ -89,8 +90,13 @@
 )
 
 // LimitGC sets the soft memory limit of the Go runtime.
-func (m Machine) LimitGC() {
-	debug.SetMemoryLimit(max(m.Bytes/minGCDivisor, (m.Bytes-programBytes)/100*gcPercent))
+func (m Machine) LimitGC() { debug.SetMemoryLimit(m.runtimeBytes()) }
+
+// Heap returns a gate that delays allocations while the heap takes all that the Go runtime should.
+func (m Machine) Heap() *heapgate.Gate { return heapgate.ForProcess(m.runtimeBytes()) }
+
+func (m Machine) runtimeBytes() int64 {
+	return max(m.Bytes/minGCDivisor, (m.Bytes-programBytes)/100*gcPercent)
 }
 
 // RecordBytes returns the memory for each kind of record that is kept of requests that have ended, and
--- a/internal/readlimit/readlimit.go
+++ b/internal/readlimit/readlimit.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/pimentohinge/pimentohinge/internal/heapgate"
 )
 
 // Errors of this package.
@@ -51,11 +53,13 @@
 // for concurrent use.
 type Budget struct {
 	limit int64
+	heap  *heapgate.Gate // may be nil
 	used  atomic.Int64
 }
 
-// New returns a budget of limit bytes.
-func New(limit int64) *Budget { return &Budget{limit: limit} }
+// New returns a budget of limit bytes. heap delays reading long bodies while the heap of the process is
+// full; it may be nil.
+func New(limit int64, heap *heapgate.Gate) *Budget { return &Budget{limit: limit, heap: heap} }
 
 // Used returns the number of bytes reserved at present.
 func (b *Budget) Used() int64 { return b.used.Load() }
@@ -111,6 +115,21 @@
 // so that long bodies do not keep short ones out.
 const GrantedBytes = 4 << 10
 
+// gatedBytes is the size above which a block of a body waits for room on the heap.
+const gatedBytes = 32 << 10
+
+// allocate returns an empty block of the given capacity. It reports false if the heap is full.
+func (r *Reservation) allocate(capacity int64) ([]byte, bool) {
+	if r.budget.heap == nil || capacity <= gatedBytes {
+		return make([]byte, 0, capacity), true
+	}
+	if !r.budget.heap.Take(capacity, nil) {
+		return nil, false
+	}
+	defer r.budget.heap.Done(capacity)
+	return make([]byte, 0, capacity), true
+}
+
 // grow reserves the memory for a body that grows from one size to another. It reports false
 // when the budget would be exceeded.
 func (r *Reservation) grow(from, to int64) bool {
@@ -124,8 +143,8 @@
 
 // ReadAll reads body to its end and reserves its bytes. length is the announced length in
 // bytes, or negative. The error is ErrBodyTooLong for a body of more than limit bytes and
-// ErrBudgetExhausted when the budget does not suffice; the bytes read so far are then
-// returned too.
+// ErrBudgetExhausted when the budget does not suffice or the heap is full; the bytes read so
+// far are then returned too.
 func (r *Reservation) ReadAll(body io.Reader, length, limit int64) ([]byte, error) {
 	var out []byte
 	if length > limit {
@@ -136,16 +155,23 @@
 		if !r.grow(0, length+1) {
 			return nil, ErrBudgetExhausted
 		}
-		out = make([]byte, 0, length+1)
+		var ok bool
+		if out, ok = r.allocate(length + 1); !ok {
+			return nil, ErrBudgetExhausted
+		}
 	}
 	for {
 		if len(out) == cap(out) {
 			// One byte beyond the limit shows that a body is too long.
-			old, grown := int64(cap(out)), min(max(GrantedBytes, 2*cap(out)), int(limit)+1)
-			if !r.grow(0, int64(grown)) {
+			old, grown := int64(cap(out)), min(max(GrantedBytes, 2*int64(cap(out))), limit+1)
+			if !r.grow(0, grown) {
+				return out, ErrBudgetExhausted
+			}
+			block, ok := r.allocate(grown)
+			if !ok {
 				return out, ErrBudgetExhausted
 			}
-			out = append(make([]byte, 0, grown), out...)
+			out = append(block, out...)
 			// Both blocks exist while the bytes are copied.
 			r.grow(old, 0)
 		}
--- a/internal/readlimit/readlimit_test.go
+++ b/internal/readlimit/readlimit_test.go
@@ -5,11 +5,15 @@
 	"errors"
 	"io"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/iotest"
+	"testing/synctest"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/pimentohinge/pimentohinge/internal/heapgate"
 	"github.com/pimentohinge/pimentohinge/internal/readlimit"
 )
 
@@ -56,7 +60,7 @@
 		{"broken", iotest.ErrReader(io.ErrUnexpectedEOF), -1, 1 << 20, 0, io.ErrUnexpectedEOF},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			budget := readlimit.New(c.budget)
+			budget := readlimit.New(c.budget, nil)
 			reservation := budget.Reserve()
 			body, err := reservation.ReadAll(c.body, c.announced, 64<<10)
 			if !errors.Is(err, c.err) || c.err == nil && len(body) != c.length {
@@ -77,7 +81,7 @@
 // TestLongBodiesDoNotKeepShortOnesOut guards against requests that fail because other
 // servers send bodies without end.
 func TestLongBodiesDoNotKeepShortOnesOut(t *testing.T) {
-	budget := readlimit.New(64 << 10)
+	budget := readlimit.New(64<<10, nil)
 	long := budget.Reserve()
 	if _, err := long.ReadAll(endless{}, -1, 1<<20); !errors.Is(err, readlimit.ErrBudgetExhausted) {
 		t.Fatalf("error %v", err)
@@ -97,7 +101,7 @@
 
 // TestBodyAtItsLimitTakesLittleMore checks that a body does not take twice its limit.
 func TestBodyAtItsLimitTakesLittleMore(t *testing.T) {
-	budget := readlimit.New(1 << 20)
+	budget := readlimit.New(1<<20, nil)
 	if _, err := budget.Reserve().ReadAll(endless{}, -1, 64<<10); !errors.Is(err, readlimit.ErrBodyTooLong) {
 		t.Fatalf("error %v", err)
 	}
@@ -108,7 +112,7 @@
 
 // TestSingleReservationMayExceedTheBudget reserves more than the budget while nothing else is reserved.
 func TestSingleReservationMayExceedTheBudget(t *testing.T) {
-	budget := readlimit.New(100)
+	budget := readlimit.New(100, nil)
 	first, second := budget.Reserve(), budget.Reserve()
 	if !first.AddOrAlone(300) {
 		t.Error("the only reservation failed")
@@ -126,3 +130,40 @@
 		t.Errorf("%d bytes are left", budget.Used())
 	}
 }
+
+// TestLongBodiesAwaitTheHeap reads bodies while the heap of the process is full.
+func TestLongBodiesAwaitTheHeap(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		length    int
+		announced int64
+		// free is when the heap becomes free, 0 for never.
+		free        time.Duration
+		err         error
+		least, most time.Duration
+	}{
+		{name: "short", length: 20 << 10, announced: 20 << 10},
+		{name: "long", length: 100 << 10, announced: 100 << 10, err: readlimit.ErrBudgetExhausted, least: 900 * time.Millisecond, most: 1100 * time.Millisecond},
+		{name: "longNotAnnounced", length: 100 << 10, announced: -1, err: readlimit.ErrBudgetExhausted, least: 900 * time.Millisecond, most: 1100 * time.Millisecond},
+		{name: "becomesFree", length: 100 << 10, announced: -1, free: 300 * time.Millisecond, least: 300 * time.Millisecond, most: 400 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var heapBytes atomic.Int64
+				heapBytes.Store(1 << 20)
+				if c.free > 0 {
+					time.AfterFunc(c.free, func() { heapBytes.Store(0) })
+				}
+				budget := readlimit.New(1<<20, heapgate.New(heapgate.Options{MaxBytes: 1 << 20, HeapBytes: heapBytes.Load, Collect: func() {}}))
+				began := time.Now()
+				body, err := budget.Reserve().ReadAll(strings.NewReader(strings.Repeat("x", c.length)), c.announced, 1<<20)
+				if !errors.Is(err, c.err) || c.err == nil && len(body) != c.length {
+					t.Errorf("read %d bytes, error %v", len(body), err)
+				}
+				if took := time.Since(began); took < c.least || took > c.most {
+					t.Errorf("it took %v", took)
+				}
+			})
+		})
+	}
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -67,11 +67,9 @@
 	bodies *readlimit.Budget
 }
 
-// New returns a client that sends its requests through h. All bodies that have not been released
-// together take at most memory bytes.
-func New(h *http.Client, memory int64) *Client {
-	return &Client{http: h, bodies: readlimit.New(memory)}
-}
+// New returns a client that sends its requests through h. bodies is the memory for all response bodies
+// that have not been released.
+func New(h *http.Client, bodies *readlimit.Budget) *Client { return &Client{http: h, bodies: bodies} }
 
 // Do makes one attempt at a call. The Kind of the result is Finished when there is
 // a response, NotRun when no connection was obtained and so no byte was sent, and
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/pimentohinge/pimentohinge/internal/network"
 	"github.com/pimentohinge/pimentohinge/internal/outcome"
+	"github.com/pimentohinge/pimentohinge/internal/readlimit"
 	"github.com/pimentohinge/pimentohinge/internal/service"
 )
 
@@ -66,7 +67,7 @@
 			previous = next
 		}
 	})
-	client := service.New(network.Client(network.TCP{}), maxMemory)
+	client := service.New(network.Client(network.TCP{}), readlimit.New(maxMemory, nil))
 	for _, path := range []string{"/a", "/b", "/c"} {
 		if got, result := do(t, client, address, path); result.Kind != outcome.Finished || string(got.Body) != "of "+path {
 			t.Errorf("%s got %q, %+v", path, got.Body, result)
@@ -95,7 +96,7 @@
 					_, _ = io.Copy(conn, strings.NewReader(strings.Repeat(c.repeated, c.repeats)))
 				}
 			})
-			got, result := do(t, service.New(network.Client(network.TCP{}), maxMemory), address, "/a")
+			got, result := do(t, service.New(network.Client(network.TCP{}), readlimit.New(maxMemory, nil)), address, "/a")
 			if result.Kind != c.kind || result.Cause != c.cause {
 				t.Errorf("got %d bytes, %+v, want %s, %q", len(got.Body), result, c.kind, c.cause)
 			}
@@ -110,7 +111,7 @@
 // response. The call may have run, and has no response.
 func TestResponseThatStopsInItsHeader(t *testing.T) {
 	header := strings.TrimSuffix(response(""), "0\r\n\r\n") + "12\r\nConnection: close\r\n\r\n"
-	client := service.New(network.Client(network.TCP{}), maxMemory)
+	client := service.New(network.Client(network.TCP{}), readlimit.New(maxMemory, nil))
 	for end := range len(header) {
 		address := startBackend(t, func(c net.Conn, r *bufio.Reader) {
 			if _, err := http.ReadRequest(r); err == nil {
@@ -131,7 +132,7 @@
 				_, _ = io.WriteString(c, "HTTP/1.1 "+status+" None\r\nContent-Length: 2\r\n\r\nok")
 			}
 		})
-		resp, result := do(t, service.New(network.Client(network.TCP{}), maxMemory), address, "/x")
+		resp, result := do(t, service.New(network.Client(network.TCP{}), readlimit.New(maxMemory, nil)), address, "/x")
 		if result.Kind != outcome.Unknown || result.Cause != outcome.BrokenResponse || resp.Status != 0 {
 			t.Errorf("status %s: %+v, %+v", status, resp, result)
 		}
@@ -146,7 +147,7 @@
 			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", length, strings.Repeat("x", length))
 		}
 	})
-	client := service.New(network.Client(network.TCP{}), 3*length/2)
+	client := service.New(network.Client(network.TCP{}), readlimit.New(3*length/2, nil))
 	first, result := do(t, client, address, "/a")
 	if result.Kind != outcome.Finished || len(first.Body) != length {
 		t.Fatalf("first: %d bytes, %+v", len(first.Body), result)
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -22,6 +22,7 @@
 	"github.com/pimentohinge/pimentohinge/internal/control/configchain"
 	"github.com/pimentohinge/pimentohinge/internal/engine"
 	"github.com/pimentohinge/pimentohinge/internal/headlimit"
+	"github.com/pimentohinge/pimentohinge/internal/heapgate"
 	"github.com/pimentohinge/pimentohinge/internal/incident"
 	"github.com/pimentohinge/pimentohinge/internal/machine"
 	"github.com/pimentohinge/pimentohinge/internal/mutation"
@@ -71,6 +72,9 @@
 	Log *log.Logger
 	// Seed initializes the random source of the core.
 	Seed uint64
+	// Heap delays reading large heads and long bodies while the heap of the process is full. It may be
+	// nil.
+	Heap *heapgate.Gate
 }
 
 // VM is one entry VM.
@@ -128,6 +132,7 @@
 			Name: vmSettings.VM.Name, Region: vmSettings.VM.Region, DataCentre: vmSettings.VM.DataCentre,
 			PeerAddress: vmSettings.Listen.Peers, OperatorAddress: vmSettings.Listen.Operators,
 		},
+		listeners:        machine.Listeners{Heap: opts.Heap},
 		incarnation:      int(time.Now().UnixMilli()),
 		messages:         make(chan control.Message, messageQueueLength),
 		platform:         platform.New(vmSettings.Platform.Address, client),
@@ -153,8 +158,8 @@
 	v.claims = claim.New(v.platform, vmSettings.VM.Name, v.incarnation, v.isRunning)
 	v.callers = caller.New(caller.Options{
 		VM: vmSettings.VM.Name, Limits: vmSettings.Callers, Secret: vmSettings.Peers.Key, Broker: v, Engines: v.engines,
-		Bodies: readlimit.New(v.machine.BodyBytes()), Decoding: readlimit.New(v.machine.RecordBytes()),
-		Services: service.New(network.Client(backends), v.machine.BodyBytes()), Claims: v.claims,
+		Bodies: readlimit.New(v.machine.BodyBytes(), opts.Heap), Decoding: readlimit.New(v.machine.RecordBytes(), nil),
+		Services: service.New(network.Client(backends), readlimit.New(v.machine.BodyBytes(), opts.Heap)), Claims: v.claims,
 		Tickets:   ticket.New(vmSettings.Peers.Key, vmSettings.VM.Name, v.incarnation, vmMachine.RecordBytes()),
 		Incidents: v.incidents, Log: opts.Log,
 	})
