dispatch: requests that wait for an engine follow their home regions

Cause: the homes were read once, before a request began to wait, and it kept them for as long as it waited.

Change: with each configuration the VM sends the dispatch core the homes of all requests that it is placing (HomesChanged). A request that no server may get any more is refused at once. If a configuration comes between the reading of the homes and the placement, the placement is dropped and asked for again.

Without HomesChanged, with the second look at the placement alone, the test of the gateway passes too; the requests then wait for room in regions where they may not run.

--- a/internal/control/dispatch/dispatch.go
+++ b/internal/control/dispatch/dispatch.go
@@ -186,6 +186,8 @@
 		if len(msg.Names) > 0 {
 			c.fleet = rendezvous.NewSet(msg.Names)
 		}
+	case HomesChanged:
+		c.homesChanged(now, msg.Homes)
 	case EvacuationsChanged:
 		c.evacuationsChanged(now, msg.DataCentres)
 	case ServerLeaving:
--- a/internal/control/dispatch/messages.go
+++ b/internal/control/dispatch/messages.go
@@ -147,6 +147,9 @@
 	Names      []string
 }
 
+// HomesChanged replaces the homes of requests that wait for an engine, by ID.
+type HomesChanged struct{ Homes map[uint64]routing.Homes }
+
 // EvacuationsChanged replaces the set of data centres to whose servers nothing new may be sent.
 type EvacuationsChanged struct{ DataCentres map[string]bool }
 
@@ -221,6 +224,7 @@
 func (FindTarget) message()         {}
 func (ReleaseTarget) message()      {}
 func (FleetSize) message()          {}
+func (HomesChanged) message()       {}
 func (EvacuationsChanged) message() {}
 func (ServerLeaving) message()      {}
 func (ServerNotBefore) message()    {}
--- a/internal/control/dispatch/waiting.go
+++ b/internal/control/dispatch/waiting.go
@@ -12,6 +12,7 @@
 
 	"github.com/pimentohinge/pimentohinge/internal/control/waitlist"
 	"github.com/pimentohinge/pimentohinge/internal/outcome"
+	"github.com/pimentohinge/pimentohinge/internal/routing"
 )
 
 // Load pattern of this file: a burst of long prompts over short urgent ones, while engines leave.
@@ -100,6 +101,18 @@
 	c.markLedgerChanged()
 }
 
+// homesChanged replaces the homes of waiting requests and tries to place those that wait.
+func (c *Core) homesChanged(now time.Time, homes map[uint64]routing.Homes) {
+	for id, regions := range homes {
+		if req, ok := c.waitingByID[id]; ok {
+			req.Homes = regions
+		}
+	}
+	for _, service := range slices.Sorted(maps.Keys(c.waiting)) {
+		c.tryWaiting(now, c.waiting[service])
+	}
+}
+
 // placeWaiting tries to place waiting requests, if it is time, and refuses those that cannot start
 // before their callers give up or whose prompts were quarantined meanwhile.
 func (c *Core) placeWaiting(now time.Time) {
--- a/internal/control/dispatch/waiting_test.go
+++ b/internal/control/dispatch/waiting_test.go
@@ -341,3 +341,42 @@
 	}
 	t.Error("a request with a quarantined segment still waits")
 }
+
+// TestWaitingRequestsFollowTheirHomes changes the homes of requests that wait for engines in two regions.
+func TestWaitingRequestsFollowTheirHomes(t *testing.T) {
+	core := newRegionCore("vm-1", []string{"vm-1"}, "a", "c")
+	running := map[string][]uint64{}
+	var waits []uint64
+	for id := uint64(1); len(waits) < 2; id++ {
+		if dataCentre := placement(core, start, longRequest(start, id)); dataCentre != "" {
+			running[dataCentre] = append(running[dataCentre], id)
+		} else {
+			waits = append(waits, id)
+		}
+	}
+	now := start.Add(100 * time.Millisecond)
+	var got []string
+	record := func(actions []dispatch.Action) {
+		for _, action := range actions {
+			switch action := action.(type) {
+			case dispatch.Placed:
+				got = append(got, fmt.Sprint(action.ID-waits[0], " ", action.Server.DataCentre))
+			case dispatch.Refused:
+				got = append(got, fmt.Sprint(action.ID-waits[0], " ", action.Cause))
+			}
+		}
+	}
+	record(core.Step(now, dispatch.HomesChanged{Homes: map[uint64]routing.Homes{waits[0]: homes("r1"), waits[1]: homes("r3")}}))
+	for _, dataCentre := range []string{"c", "a"} {
+		for _, id := range running[dataCentre] {
+			record(core.Step(now, dispatch.RequestEnded{ID: id, Verdict: dispatch.Served}))
+		}
+		for range 20 {
+			now = now.Add(100 * time.Millisecond)
+			record(core.Step(now, dispatch.Tick{}))
+		}
+	}
+	if diff := cmp.Diff([]string{"1 noHome", "0 a"}, got); diff != "" {
+		t.Errorf("waiting requests (-want +got):\n%s", diff)
+	}
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -102,6 +102,8 @@
 	checks map[backend.Instance]bool
 	// cancels holds the functions that cancel open requests with a prompt, by request ID.
 	cancels map[uint64]context.CancelCauseFunc
+	// placing holds the requests for which the dispatch core looks for a server, by request ID.
+	placing map[uint64]*request
 
 	quarantines *quarantineStore
 }
@@ -119,6 +121,7 @@
 		metrics:   newMetrics(), streams: map[uint64]*stream{}, servers: map[string]backend.Server{},
 		requestBodies: readlimit.New(bodyMemory, opts.Heap), responseBodies: readlimit.New(bodyMemory, opts.Heap),
 		drains: map[backend.Instance]*serverDrain{}, checks: map[backend.Instance]bool{}, leaving: map[backend.Instance]bool{}, notBefore: map[backend.Instance]time.Time{}, cancels: map[uint64]context.CancelCauseFunc{},
+		placing:    map[uint64]*request{},
 		successLog: rate.NewLimiter(successLinesPerSecond, 2*successLinesPerSecond),
 	}
 	evacuationBound := time.Duration(bounds.EvacuationMs) * time.Millisecond
@@ -265,6 +268,7 @@
 func (s *Server) applyState(state *routing.State) {
 	s.frontend.setLimits(state.Limits)
 	s.loop.post(dispatch.ServicesChanged{Services: state.Services})
+	s.updateHomes()
 	s.metrics.configVersion.Set(float64(state.Version))
 	if unknown := state.UnknownHomes(s.opts.Settings.Regions()); len(unknown) > 0 {
 		s.log.Warn().Str("event", "homesUnknown").Int64("version", state.Version).Str("regions", strings.Join(unknown, ",")).Msg("")
--- a/internal/ingress/plain.go
+++ b/internal/ingress/plain.go
@@ -101,7 +101,7 @@
 func (s *Server) place(req *request, tried []string, isRetry bool) (dispatch.Placed, outcome.Result, bool) {
 	place := dispatch.PlaceRequest{
 		ID: req.id, Service: req.service, Kind: req.route.Kind, PromptTokens: req.params.PromptTokens, ExpectedOutputTokens: req.estimatedOutput(),
-		Segments: req.segments, Excluded: tried, Retry: isRetry, Homes: s.homesOf(req),
+		Segments: req.segments, Excluded: tried, Retry: isRetry,
 		Urgency: req.route.UrgencyFor(req.workspace), Yields: req.state.Yields(req.service, req.route),
 		LatencyTarget: req.route.LatencyTarget,
 	}
@@ -111,7 +111,7 @@
 	if req.route.Kind == routing.Streaming && req.state.Competes(req.service) {
 		place.LateAt, place.AbandonAt = req.arrived.Add(req.route.LatencyTarget), req.callerWaitsUntil(req.arrived)
 	}
-	action, ok := s.loop.call(req.ctx, req.id, place)
+	action, ok := s.callPlace(req, place)
 	if !ok {
 		s.loop.post(dispatch.RequestEnded{ID: req.id, Verdict: dispatch.Cancelled})
 		return dispatch.Placed{}, s.cancelledOutcome(req, false), false
--- a/internal/ingress/regions.go
+++ b/internal/ingress/regions.go
@@ -25,6 +25,40 @@
 	return s.homesOf(req).Allow(s.opts.Settings.DataCentres[server.DataCentre])
 }
 
+// callPlace asks the dispatch core for a server. While the request waits there, each new configuration
+// sets its homes anew.
+func (s *Server) callPlace(req *request, place dispatch.PlaceRequest) (dispatch.Action, bool) {
+	s.mu.Lock()
+	s.placing[req.id] = req
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.placing, req.id)
+	}()
+	for {
+		place.Homes = s.homesOf(req)
+		action, ok := s.loop.call(req.ctx, req.id, place)
+		placed, isPlaced := action.(dispatch.Placed)
+		if !ok || !isPlaced || s.isHome(req, placed.Server) {
+			return action, ok
+		}
+		// The configuration changed between the reading of the homes and the placement.
+		s.loop.post(dispatch.RequestEnded{ID: req.id, Verdict: dispatch.Cancelled})
+	}
+}
+
+// updateHomes sets the homes of requests that wait for an engine to those of the newest configuration.
+func (s *Server) updateHomes() {
+	s.mu.Lock()
+	homes := make(map[uint64]routing.Homes, len(s.placing))
+	for id, req := range s.placing {
+		homes[id] = s.homesOf(req)
+	}
+	s.mu.Unlock()
+	s.loop.post(dispatch.HomesChanged{Homes: homes})
+}
+
 // applyEvacuations applies a new set of evacuated data centres.
 func (s *Server) applyEvacuations(dataCentres map[string]bool) {
 	s.mu.Lock()
--- a/test/gateway/regions_test.go
+++ b/test/gateway/regions_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -93,3 +94,44 @@
 		}
 	})
 }
+
+// TestWaitingRequestsFollowTheirHomes gives a workspace a home region while its requests wait for engines
+// in two regions.
+func TestWaitingRequestsFollowTheirHomes(t *testing.T) {
+	runTest(t, func(t *testing.T, env *testEnv) {
+		env.startEngine("e-r1", "a")
+		env.startEngine("e-r2", "b")
+		patient := object{
+			"name": "r-patient", "host": "acme.example", "pathPrefix": "/patient/", "kind": "streaming", "service": "engine",
+			"maxAttempts": 1, "timeoutMs": 39000, "goalMs": 4000, "priority": 2, "gapGoalMs": 180,
+		}
+		env.configure(2, patient)
+		time.Sleep(4 * time.Second)
+		const events, requests = 300, 40
+		var callers sync.WaitGroup
+		for i := range requests {
+			callers.Go(func() {
+				env.call(t.Context(), http.MethodPost, "/patient/x", fmt.Sprint("patient-", i), http.Header{
+					"X-Pimentohinge-Token-Usage": {fmt.Sprintf("3000,%d", 4*events)},
+				})
+			})
+		}
+		time.Sleep(time.Second)
+		changed := time.Now()
+		env.configureWorkspaces(3, patient, []object{{"name": "acme", "apiKeys": []string{apiKey}, "homeRegions": []string{"r1"}}})
+		callers.Wait()
+		before, after := map[string]bool{}, map[string]bool{}
+		for i := range requests {
+			for _, run := range env.upstreams.Runs(fmt.Sprint("patient-", i)) {
+				if run.Started.Before(changed) {
+					before[run.Replica] = true
+				} else if run.Started.After(changed.Add(4 * time.Second)) {
+					after[run.Replica] = true
+				}
+			}
+		}
+		if diff := cmp.Diff([]map[string]bool{{"e-r1": true, "e-r2": true}, {"e-r1": true}}, []map[string]bool{before, after}); diff != "" {
+			t.Errorf("servers before and after the change (-want +got):\n%s", diff)
+		}
+	})
+}
