catalog: a watch that is cut off does not count as an outage of the store

Cause: servers whose entries go within 2 s of a failed call to the store are kept for a while, as the entries may have expired while the store was unavailable. A watch that the store cuts off while it waits counted as a failed call, though the store answers all others.

The next call, which does not wait, tells whether the store is available; only if that fails too the store counts as unavailable.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -177,6 +177,8 @@
 	linearizableAt, linearizableOnlyUntil time.Time
 	// calledAt is when the last call began.
 	calledAt time.Time
+	// cutOff is set when the last watch was cut off and the store has not been called since.
+	cutOff bool
 	// behind is set when another VM reported a change whose objects this VM lacks.
 	behind bool
 }
@@ -220,6 +222,13 @@
 		if c.opts.OnStoreCall != nil {
 			c.opts.OnStoreCall(handler.prefix, linearizable, status)
 		}
+		if status == platform.CutOff && !cur.cutOff && !cur.storeDown && !interrupted {
+			// The store may cut off watches that wait while it is available. The next call, which does
+			// not wait, tells.
+			cur.cutOff = true
+			continue
+		}
+		cur.cutOff = false
 		now := time.Now()
 		switch status {
 		case platform.OK:
@@ -313,8 +322,8 @@
 }
 
 // readStore makes one call to the store. The call does not wait for changes when the
-// store was unavailable, as a watch that hangs would delay the recovery, or when earlier
-// stale reads have to be confirmed.
+// store was unavailable, as a watch that hangs would delay the recovery, when the last watch
+// was cut off, or when earlier stale reads have to be confirmed.
 func (c *Catalog) readStore(ctx context.Context, handler prefixHandler, cur *cursor, linearizable bool) (platform.Listing, platform.Status) {
 	prefix := handler.prefix
 	c.storeCalls.Add(1)
@@ -327,8 +336,10 @@
 			// Use each page while the next one is being read.
 			handler.apply(platform.Listing{Objects: page})
 		})
-	case cur.behind && !linearizable:
+	case (cur.behind || cur.cutOff) && !linearizable:
 		return c.staleStore.Watch(ctx, prefix, cur.version, now)
+	case cur.cutOff:
+		return c.opts.Store.Watch(ctx, prefix, cur.version, now)
 	case !linearizable:
 		// Return before linearizableInterval is over, so that confirmations received
 		// from other VMs meanwhile can be applied.
