soak: a request reaches a suspended server when it is sent, not when the server goes on

Cause: in the rig. The log of the VM shows both placed 1.0 and 0.9 s before it read the notice, with one attempt each and nothing sent after it. The server was suspended: from 34.5 to 40.0 s it opened connections and answered none, longer than a link is ever held (4 s). The run began as the server went on, and the check took that for the arrival.

Change: a run records when its request reached the process, also while that is suspended, and the check counts from there. It is as strict for servers that are not suspended, as both times are the same, and for what is sent to a suspended one late: both are cases of TestChecks.

Measured: the two new cases; without the change the first one breaks DRAIN.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -207,8 +207,8 @@
 	at time.Time
 }
 
-// checkDrain checks that a run did not begin long after its server said in the list that it
-// leaves.
+// checkDrain checks that the request of a run did not reach its server long after that said in the
+// list that it leaves. A server that is suspended begins to work on it later.
 func (f *fleet) checkDrain(rec record, run upstream.Run, s *server) {
 	if s == nil {
 		return
@@ -216,12 +216,16 @@
 	s.mu.Lock()
 	leavesAt := s.leavesAt
 	s.mu.Unlock()
-	late := run.Started.Sub(leavesAt)
-	if leavesAt.IsZero() || late <= drainBoundMs*time.Millisecond || rec.vm.disturbedIn(leavesAt.Add(-contactTime), run.Started) {
+	reached := run.Started
+	if !run.Received.IsZero() {
+		reached = run.Received
+	}
+	late := reached.Sub(leavesAt)
+	if leavesAt.IsZero() || late <= drainBoundMs*time.Millisecond || rec.vm.disturbedIn(leavesAt.Add(-contactTime), reached) {
 		return
 	}
 	f.mu.Lock()
-	storeDisturbed := f.storeDisturbed.touches(leavesAt.Add(-contactTime), run.Started)
+	storeDisturbed := f.storeDisturbed.touches(leavesAt.Add(-contactTime), reached)
 	f.mu.Unlock()
 	if !storeDisturbed {
 		f.violate(Violation{ruleDrain, rec.attempt, fmt.Sprintf("reached %s %d ms after it was listed as leaving", run.Replica, late.Milliseconds())})
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -19,6 +19,10 @@
 	run := func(replica string, from, to int) upstream.Run {
 		return upstream.Run{Attempt: "a", Replica: replica, Started: at(from), Ended: at(to)}
 	}
+	receivedAt := func(ms int, run upstream.Run) upstream.Run {
+		run.Received = at(ms)
+		return run
+	}
 	resumed := func(run upstream.Run) upstream.Run {
 		run.Resumed = true
 		return run
@@ -44,6 +48,8 @@
 		{"failure and run", "mixed", soak.Received{Kind: "unsafe", Status: 502}, []upstream.Run{run("p-1", 0, 15)}, nil},
 		{"run 3 s after the notice", "mixed", soak.Received{Kind: "stream", Status: 200, LeavesAt: at(0)}, []upstream.Run{run("e-1", 3000, 4000)}, nil},
 		{"run later than that", "mixed", soak.Received{Kind: "stream", Status: 200, LeavesAt: at(0)}, []upstream.Run{run("e-1", 3001, 4000)}, []string{"DRAIN"}},
+		{"suspended since before the notice", "mixed", soak.Received{Kind: "stream", Status: 200, LeavesAt: at(1000)}, []upstream.Run{receivedAt(0, run("e-1", 5493, 6000))}, nil},
+		{"reached a suspended server later than that", "mixed", soak.Received{Kind: "stream", Status: 200, LeavesAt: at(0)}, []upstream.Run{receivedAt(3001, run("e-1", 4000, 5000))}, []string{"DRAIN"}},
 		{"cut late in a stop", "stops", soak.Received{Kind: "slow", Sent: at(4000), Ended: at(7600), Err: cut, StoppedAt: at(0)}, []upstream.Run{run("p-1", 4000, 7600)}, []string{"LOST"}},
 		{"server slow until the end of a stop", "stops", soak.Received{Kind: "slow", Sent: at(2900), Ended: at(7600), Err: cut, StoppedAt: at(0)}, []upstream.Run{run("p-1", 2900, 7600)}, nil},
 		{"cut before it was passed on", "stops", soak.Received{Kind: "unsafe", Sent: at(4000), Ended: at(4001), Err: cut, StoppedAt: at(0)}, nil, nil},
--- a/internal/standin/upstream/cluster.go
+++ b/internal/standin/upstream/cluster.go
@@ -19,8 +19,9 @@
 	// FirstEvent and LastEvent are the numbers of the first and the last event that
 	// the run produced; both are 0 for a plain service.
 	FirstEvent, LastEvent int
-	// Started and Ended are the times of the run; Ended is zero while it is running.
-	Started, Ended time.Time
+	// Started and Ended are the times of the run; Ended is zero while it is running. Received is when
+	// the request had reached the process, which may have been suspended until Started.
+	Received, Started, Ended time.Time
 	// Resumed is set when the run resumed a stream from a copy of its KV cache.
 	Resumed bool
 	// Unheard is set when the run continued after the connection of its stream was lost.
--- a/internal/standin/upstream/notices.go
+++ b/internal/standin/upstream/notices.go
@@ -44,9 +44,13 @@
 	}
 }
 
+// receivedKey is the key of the time at which a request was received, in its context.
+type receivedKey struct{}
+
 // withNotices adds what the replica says of itself to all responses.
 func (r *Replica) withNotices(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		req = req.WithContext(context.WithValue(req.Context(), receivedKey{}, time.Now()))
 		r.awaitResumption()
 		r.mu.Lock()
 		leaving, left := r.leaving, time.Until(r.refusesUntil)
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -251,8 +251,10 @@
 		return
 	}
 	timeoutMs, _ := strconv.Atoi(req.Header.Get("X-Pimentohinge-Deadline-Ms"))
+	received, _ := req.Context().Value(receivedKey{}).(time.Time)
 	run := Run{
-		Attempt: attempt, Replica: r.opts.ID, ReplicaStartedAt: r.opts.StartedAt, Workspace: req.Header.Get("X-Pimentohinge-Tenant"),
+		Received: received,
+		Attempt:  attempt, Replica: r.opts.ID, ReplicaStartedAt: r.opts.StartedAt, Workspace: req.Header.Get("X-Pimentohinge-Tenant"),
 		Key: req.Header.Get("Authorization"), TimeoutMs: timeoutMs, Segments: promptSegments(req.Header),
 	}
 	if r.opts.Engine == nil {
