serve: generated responses that are not streamed count as memory for responses

What callers saw: 256 callers who asked for answers in one piece of 300 kB each took a VM of 64 MB to 157 MB.

Cause: the text was collected without a limit, decoded, encoded again and written from a third copy.

Change: the text is kept as it stands in the engine's JSON, in memory of the budget for responses of plain services, until it is written, and written without a copy. If there is none left the generation is cancelled and the caller gets 502 responseFull: it has run, so this is no 503. As for bodies, the first 4 KiB of each response are always granted, so that long ones do not keep short ones out.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -60,8 +60,9 @@
 	VM string
 	// Limits holds the size limits and timeouts for requests.
 	Limits settings.Callers
-	// Bodies is the memory for request bodies, Decoding that in which they are decoded.
-	Bodies, Decoding *readlimit.Budget
+	// Bodies is the memory for request bodies, Decoding that in which they are decoded, and Responses
+	// that for generated responses that are not streamed.
+	Bodies, Decoding, Responses *readlimit.Budget
 	// Secret is the key shared by all entry VMs; it signs resume tokens.
 	Secret string
 	// Broker connects to the control loop and to other VMs.
@@ -166,10 +167,11 @@
 	timeline  *incident.Timeline
 	model     modelRequest
 	plain     plainCall
-	// memory is reserved for the body, decoding for decoding it; nil if there is none.
-	memory, decoding *readlimit.Reservation
-	started          bool            // the response header was sent
-	detached         *detachedWriter // set when the stream continues after its handler has returned
+	// memory is reserved for the body, decoding for decoding it, and response for a generated response
+	// that is not streamed; nil if there is none.
+	memory, decoding, response *readlimit.Reservation
+	started                    bool            // the response header was sent
+	detached                   *detachedWriter // set when the stream continues after its handler has returned
 }
 
 const requestIDBytes = 10
@@ -211,6 +213,7 @@
 func (s *Server) finishRequest(req *request, o outcome.Result) {
 	defer req.memory.Release()
 	defer req.decoding.Release()
+	defer req.response.Release()
 	if o.Cause != outcome.None && !req.started {
 		req.boundWrite()
 		writeProblem(req.w, req.id, o)
--- a/internal/caller/relay.go
+++ b/internal/caller/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strconv"
 	"time"
 
@@ -42,6 +43,7 @@
 		Segments: req.model.segments,
 	}}
 	if !req.model.stream {
+		req.response = f.s.opts.Responses.Reserve()
 		call.out = &bufferSink{req: req}
 		return call.run(), false
 	}
@@ -290,6 +292,10 @@
 		if r.next > nextBefore {
 			resumes = 0
 		}
+		if errors.Is(err, errResponseFull) {
+			go r.cancel()
+			return r.failureOutcome(outcome.ResponseFull)
+		}
 		if err != nil || r.req.r.Context().Err() != nil {
 			return r.handleCallerGone()
 		}
--- a/internal/caller/relay_test.go
+++ b/internal/caller/relay_test.go
@@ -68,7 +68,7 @@
 	limits.TokenDeadlineMs = 60_000
 	return caller.New(caller.Options{
 		VM: "entry-1", Limits: limits, Secret: "0123456789abcdef", Broker: singleBackendBroker{state, addr, onEnded},
-		Bodies: readlimit.New(64<<20, nil), Decoding: readlimit.New(64<<20, nil), Engines: engine.New(n), Incidents: incident.New("entry-1", 10_000), Log: logline.New(io.Discard, "error"),
+		Bodies: readlimit.New(64<<20, nil), Decoding: readlimit.New(64<<20, nil), Responses: readlimit.New(64<<20, nil), Engines: engine.New(n), Incidents: incident.New("entry-1", 10_000), Log: logline.New(io.Discard, "error"),
 	})
 }
 
--- a/internal/caller/sink.go
+++ b/internal/caller/sink.go
@@ -1,12 +1,15 @@
 package caller
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/pimentohinge/pimentohinge/internal/invariant"
 	"github.com/pimentohinge/pimentohinge/internal/outcome"
 	"github.com/pimentohinge/pimentohinge/internal/problem"
@@ -221,29 +224,47 @@
 	_, _ = req.w.Write(fmt.Appendf(nil, "event: error\ndata: %s\n\n", body))
 }
 
+// errResponseFull means that there is no memory left for a response that is not streamed.
+var errResponseFull = eris.New("no memory left for the response")
+
+// responseText stands for the text of a response while the rest is encoded.
+const responseText = "\x00"
+
 // bufferSink collects the tokens and sends them as one JSON response.
 type bufferSink struct {
 	tokenOrder
-	req  *request
-	text strings.Builder
+	req *request
+	// text is the text as it stands in a JSON string.
+	text []byte
 }
 
 func (s *bufferSink) begin(token ResumeToken, index int) {
 	if token.Generation != s.generation {
 		// Nothing was sent yet, so the new generation replaces the previous one.
 		s.delivered = false
-		s.text.Reset()
+		s.text = s.text[:0]
 	}
 	s.tokenOrder.begin(token.Generation, index)
 }
 
 func (s *bufferSink) token(index int, text []byte) error {
 	s.accept(index)
-	var part string
-	if err := json.Unmarshal(text, &part); err != nil {
-		return err
+	if !json.Valid(text) || text[0] != '"' {
+		return eris.New("token is no JSON string")
+	}
+	return s.add(text[1 : len(text)-1])
+}
+
+// add appends to the text.
+func (s *bufferSink) add(part []byte) error {
+	if size := len(s.text) + len(part); size > cap(s.text) {
+		grown, ok := s.req.response.Grow(s.text, int64(max(size, 2*cap(s.text))))
+		if !ok {
+			return errResponseFull
+		}
+		s.text = grown
 	}
-	s.text.WriteString(part)
+	s.text = append(s.text, part...)
 	return nil
 }
 
@@ -254,18 +275,35 @@
 func (s *bufferSink) end(token ResumeToken, tokens int) error {
 	invariant.Check(tokens == s.next, "response complete", "generation", s.generation, "tokens", tokens, "collected", s.next)
 	reason := finishReason(token, tokens)
-	choice := map[string]any{"index": 0, "text": s.text.String(), "logprobs": nil, "finish_reason": reason}
+	choice := map[string]any{"index": 0, "text": responseText, "logprobs": nil, "finish_reason": reason}
 	id, object := "cmpl-"+token.Request, "text_completion"
 	if token.Chat {
 		choice = map[string]any{
-			"index": 0, "message": map[string]any{"role": "assistant", "content": s.text.String()},
+			"index": 0, "message": map[string]any{"role": "assistant", "content": responseText},
 			"logprobs": nil, "finish_reason": reason,
 		}
 		id, object = "chatcmpl-"+token.Request, "chat.completion"
 	}
-	writeJSON(s.req, http.StatusOK, map[string]any{
+	body, err := json.Marshal(map[string]any{
 		"id": id, "object": object, "created": token.CreatedUnix, "model": token.Service,
 		"choices": []any{choice}, "usage": usageOf(token, tokens),
 	})
+	if err != nil {
+		return err
+	}
+	placeholder, err := json.Marshal(responseText)
+	if err != nil {
+		return err
+	}
+	// The text is written as it is, as it may be long: copies of it would take memory that is not reserved.
+	head, tail, _ := bytes.Cut(body, placeholder[1:len(placeholder)-1])
+	tail = append(tail, '\n')
+	s.req.w.Header().Set("Content-Type", "application/json")
+	s.req.w.Header().Set("Content-Length", strconv.Itoa(len(head)+len(s.text)+len(tail)))
+	s.req.w.WriteHeader(http.StatusOK)
+	s.req.started = true
+	for _, part := range [][]byte{head, s.text, tail} {
+		s.req.write(part)
+	}
 	return nil
 }
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -69,6 +69,7 @@
 	SlowBody            Cause = "slowBody"
 	BrokenResponse      Cause = "brokenAnswer"
 	VMFull              Cause = "vmFull"
+	ResponseFull        Cause = "responseFull"
 	HeadsFull           Cause = "headsFull"
 	NoHome              Cause = "noHome"
 	Evacuated           Cause = "evacuated"
@@ -151,6 +152,7 @@
 	NotReady:            {http.StatusServiceUnavailable, "The entry VM had no configuration yet."},
 	SlowBody:            {http.StatusRequestTimeout, "The body of the request did not arrive in time."},
 	VMFull:              {http.StatusServiceUnavailable, "The entry VM had no memory left for the body of the request."},
+	ResponseFull:        {http.StatusBadGateway, "The entry VM had no memory left for a response that is not streamed."},
 	HeadsFull:           {http.StatusServiceUnavailable, "The entry VM had no memory left for the head of the request."},
 	NoHome:              {http.StatusServiceUnavailable, "No backend in the home regions of the route and the workspace could serve the request."},
 	Evacuated:           {http.StatusServiceUnavailable, "The data centres of all backends that could serve the request are evacuated."},
--- a/internal/readlimit/readlimit.go
+++ b/internal/readlimit/readlimit.go
@@ -141,6 +141,23 @@
 	return r.Add(to - from)
 }
 
+// Grow returns a block of the given capacity with the bytes of a smaller one, whose capacity is
+// reserved, in its place. It reports false when the budget does not suffice or the heap is full.
+func (r *Reservation) Grow(block []byte, capacity int64) ([]byte, bool) {
+	if !r.grow(0, capacity) {
+		return nil, false
+	}
+	grown, ok := r.allocate(capacity)
+	if !ok {
+		r.grow(capacity, 0)
+		return nil, false
+	}
+	// Both blocks exist while the bytes are copied.
+	grown = append(grown, block...)
+	r.grow(int64(cap(block)), 0)
+	return grown, true
+}
+
 // ReadAll reads body to its end and reserves its bytes. length is the announced length in
 // bytes, or negative. The error is ErrBodyTooLong for a body of more than limit bytes and
 // ErrBudgetExhausted when the budget does not suffice or the heap is full; the bytes read so
@@ -163,17 +180,11 @@
 	for {
 		if len(out) == cap(out) {
 			// One byte beyond the limit shows that a body is too long.
-			old, grown := int64(cap(out)), min(max(GrantedBytes, 2*int64(cap(out))), limit+1)
-			if !r.grow(0, grown) {
-				return out, ErrBudgetExhausted
-			}
-			block, ok := r.allocate(grown)
+			grown, ok := r.Grow(out, min(max(GrantedBytes, 2*int64(cap(out))), limit+1))
 			if !ok {
 				return out, ErrBudgetExhausted
 			}
-			out = append(block, out...)
-			// Both blocks exist while the bytes are copied.
-			r.grow(old, 0)
+			out = grown
 		}
 		n, err := body.Read(out[len(out):cap(out)])
 		out = out[:len(out)+n]
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -156,10 +156,11 @@
 		Suspicion:     time.Duration(vmSettings.Peers.SuspicionMs) * time.Millisecond,
 	})
 	v.claims = claim.New(v.platform, vmSettings.VM.Name, v.incarnation, v.isRunning)
+	responses := readlimit.New(v.machine.BodyBytes(), opts.Heap)
 	v.callers = caller.New(caller.Options{
 		VM: vmSettings.VM.Name, Limits: vmSettings.Callers, Secret: vmSettings.Peers.Key, Broker: v, Engines: v.engines,
-		Bodies: readlimit.New(v.machine.BodyBytes(), opts.Heap), Decoding: readlimit.New(v.machine.RecordBytes(), nil),
-		Services: service.New(network.Client(backends), readlimit.New(v.machine.BodyBytes(), opts.Heap)), Claims: v.claims,
+		Bodies: readlimit.New(v.machine.BodyBytes(), opts.Heap), Decoding: readlimit.New(v.machine.RecordBytes(), nil), Responses: responses,
+		Services: service.New(network.Client(backends), responses), Claims: v.claims,
 		Tickets:   ticket.New(vmSettings.Peers.Key, vmSettings.VM.Name, v.incarnation, vmMachine.RecordBytes()),
 		Incidents: v.incidents, Log: opts.Log,
 	})
--- a/test/headflood/serve_test.go
+++ b/test/headflood/serve_test.go
@@ -79,6 +79,9 @@
 	platform.Set("backends/tags-1", object{
 		"name": "tags-1", "service": "tags", "kind": "plain", "address": backendAddr, "region": "region-a", "dataCentre": "dc-a", "state": "live",
 	})
+	platform.Set("backends/engine-1", object{
+		"name": "engine-1", "service": "writer", "kind": "engine", "address": engineAddr, "region": "region-a", "dataCentre": "dc-a", "state": "live",
+	})
 	settings := object{
 		"vm":       object{"name": "vm-1", "region": "region-a", "dataCentre": "dc-a"},
 		"listen":   object{"callers": serveCallers, "peers": servePeers, "operators": serveOperators},
@@ -107,8 +110,8 @@
 	}
 	v.process = start(t, io.Discard, ready, program, "serve", "--settings", file)
 	note := object{"id": "flood-1", "author": "", "added": object{
-		"services":   []object{{"name": "tags", "kind": "plain"}},
-		"workspaces": []object{{"name": "flood", "keyHashes": []string{configchain.KeyHash(workspaceKey)}, "services": []string{"tags"}}},
+		"services":   []object{{"name": "tags", "kind": "plain"}, {"name": "writer", "kind": "model", "model": model}},
+		"workspaces": []object{{"name": "flood", "keyHashes": []string{configchain.KeyHash(workspaceKey)}, "services": []string{"tags", "writer"}}},
 	}}
 	body, err := json.Marshal(note)
 	if err != nil {
