--- a/test/headflood/malformed_test.go
+++ b/test/headflood/malformed_test.go
@@ -9,8 +9,8 @@
 // pipelined is the number of requests that are written to a connection at once.
 const pipelined = 20
 
-// TestProperHeadsAreNotCalledMalformed checks that no member of a crowd is told that its request is
-// malformed: it would not send it again.
+// TestProperHeadsAreNotCalledMalformed checks that no member of a crowd gets 400 for a proper request: it
+// would not send that again.
 func TestProperHeadsAreNotCalledMalformed(t *testing.T) {
 	program := build(t)
 	for name, write := range map[string]func(net.Conn, int, int) error{
