serve: a space after a token does not break a response that is not streamed

What callers saw: a response that is no JSON, if an engine sends a space after the JSON string of a token ("data: \"a\" ").

Cause: keeps the text as it stands in the engine's JSON and cut the first and the last byte, taking them for the quotes. engine.Stream.Next checks that the first byte is one; JSON may end with white space.

Change: the white space is trimmed. The check of the JSON in the sink goes: it was that of Stream.Next once more, for each token. The header and the parts of a JSON response are written by one function for both kinds.

Measured: TestTextOfWholeResponse fails without the change in one of its five texts (go test ./internal/caller -run TestTextOfWholeResponse); ./internal/caller and ./internal/standin/fleet pass.

--- a/internal/caller/filters.go
+++ b/internal/caller/filters.go
@@ -82,10 +82,7 @@
 	if err != nil {
 		panic("caller: response does not marshal: " + err.Error())
 	}
-	req.w.Header().Set("Content-Type", "application/json")
-	req.w.WriteHeader(status)
-	req.started = true
-	req.write(append(body, '\n'))
+	req.respondJSON(status, append(body, '\n'))
 	return outcome.Done(0), false
 }
 
--- a/internal/caller/relay_test.go
+++ b/internal/caller/relay_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -16,6 +17,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/pimentohinge/pimentohinge/internal/caller"
 	"github.com/pimentohinge/pimentohinge/internal/control"
 	"github.com/pimentohinge/pimentohinge/internal/control/configchain"
@@ -76,6 +79,7 @@
 // Each event is returned by a separate Read.
 type tokenStream struct {
 	generation string
+	text       string // of each token, as JSON; empty means ladderText
 	next, end  int
 	buf        []byte
 	unread     []byte // rest of buf
@@ -89,7 +93,12 @@
 			s.buf = append(s.buf, s.generation...)
 			s.buf = append(s.buf, '/')
 			s.buf = strconv.AppendInt(s.buf, int64(s.next), 10)
-			s.buf = append(s.buf, "\ndata: \" ladder\"\n\n"...)
+			s.buf = append(s.buf, "\ndata: "...)
+			if s.text == "" {
+				s.text = ladderText
+			}
+			s.buf = append(s.buf, s.text...)
+			s.buf = append(s.buf, "\n\n"...)
 		case s.next == s.end:
 			s.buf = fmt.Appendf(s.buf[:0], "event: end\ndata: {\"reason\":\"stop\",\"tokens\":%d}\n\n", s.end)
 		default:
@@ -108,16 +117,20 @@
 type tokenNetwork struct {
 	network.TCP
 	tokens int
+	text   string // of tokenStream
 }
 
+const ladderText = `" ladder"`
+
 func (n *tokenNetwork) Dial(context.Context, string) (net.Conn, error) {
-	return &tokenConn{tokens: n.tokens}, nil
+	return &tokenConn{tokens: n.tokens, text: n.text}, nil
 }
 
 // tokenConn reads the request for a generation and returns its tokens.
 type tokenConn struct {
 	net.Conn
 	tokens int
+	text   string
 	stream *tokenStream
 }
 
@@ -126,7 +139,7 @@
 func (c *tokenConn) Write(p []byte) (int, error) {
 	if _, rest, found := strings.Cut(string(p), `"generation":"`); found {
 		generation, _, _ := strings.Cut(rest, `"`)
-		c.stream = &tokenStream{generation: generation, end: c.tokens, buf: make([]byte, 0, 256), unread: []byte(responseHead)}
+		c.stream = &tokenStream{generation: generation, text: c.text, end: c.tokens, buf: make([]byte, 0, 256), unread: []byte(responseHead)}
 	}
 	return len(p), nil
 }
@@ -146,13 +159,36 @@
 func (*discardWriter) WriteHeader(int)               {}
 func (*discardWriter) Flush()                        {}
 
-func newStreamRequest() *http.Request {
-	body := `{"model":"report-writer","prompt":"Draft a report","stream":true,"max_tokens":131072}`
+func newStreamRequest() *http.Request { return newCompletionRequest(true) }
+
+func newCompletionRequest(stream bool) *http.Request {
+	body := fmt.Sprintf(`{"model":"report-writer","prompt":"Draft a report","stream":%v,"max_tokens":131072}`, stream)
 	r := httptest.NewRequest(http.MethodPost, "/v1/completions", bytes.NewBufferString(body))
 	r.Header.Set("Authorization", "Bearer "+fleet.WorkspaceKey)
 	return r
 }
 
+// TestTextOfWholeResponse checks that a response that is not streamed holds the text of all tokens.
+func TestTextOfWholeResponse(t *testing.T) {
+	for _, text := range []string{ladderText, `""`, `"a space after" `, `"quotes \" and \\ \n\t"`, `"<b>&amp;\u00e9é\u0000"`} {
+		const tokens = 3
+		w := httptest.NewRecorder()
+		newServer(&tokenNetwork{tokens: tokens, text: text}, "10.0.0.1:1").Handler().ServeHTTP(w, newCompletionRequest(false))
+		var want string
+		if err := json.Unmarshal([]byte(text), &want); err != nil {
+			t.Fatal(err)
+		}
+		var got struct{ Choices []struct{ Text string } }
+		if err := json.Unmarshal(w.Body.Bytes(), &got); err != nil || w.Code != http.StatusOK || len(got.Choices) != 1 {
+			t.Errorf("token %s: status %d, %v in %q", text, w.Code, err, w.Body)
+			continue
+		}
+		if diff := cmp.Diff(strings.Repeat(want, tokens), got.Choices[0].Text); diff != "" {
+			t.Errorf("token %s (-want +got):\n%s", text, diff)
+		}
+	}
+}
+
 // BenchmarkRelayToken measures the cost of one token in the VM's own code, without
 // sockets. One operation is one token.
 func BenchmarkRelayToken(b *testing.B) {
--- a/internal/caller/sink.go
+++ b/internal/caller/sink.go
@@ -249,9 +249,7 @@
 
 func (s *bufferSink) token(index int, text []byte) error {
 	s.accept(index)
-	if !json.Valid(text) || text[0] != '"' {
-		return eris.New("token is no JSON string")
-	}
+	text = bytes.TrimSpace(text)
 	return s.add(text[1 : len(text)-1])
 }
 
@@ -297,13 +295,6 @@
 	}
 	// The text is written as it is, as it may be long: copies of it would take memory that is not reserved.
 	head, tail, _ := bytes.Cut(body, placeholder[1:len(placeholder)-1])
-	tail = append(tail, '\n')
-	s.req.w.Header().Set("Content-Type", "application/json")
-	s.req.w.Header().Set("Content-Length", strconv.Itoa(len(head)+len(s.text)+len(tail)))
-	s.req.w.WriteHeader(http.StatusOK)
-	s.req.started = true
-	for _, part := range [][]byte{head, s.text, tail} {
-		s.req.write(part)
-	}
+	s.req.respondJSON(http.StatusOK, head, s.text, append(tail, '\n'))
 	return nil
 }
--- a/internal/caller/write.go
+++ b/internal/caller/write.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 )
 
@@ -12,6 +13,21 @@
 	writtenPartBytes = 64 << 10
 )
 
+// respondJSON writes a response whose body is the given parts.
+func (req *request) respondJSON(status int, parts ...[]byte) {
+	length := 0
+	for _, part := range parts {
+		length += len(part)
+	}
+	req.w.Header().Set("Content-Type", "application/json")
+	req.w.Header().Set("Content-Length", strconv.Itoa(length))
+	req.w.WriteHeader(status)
+	req.started = true
+	for _, part := range parts {
+		req.write(part)
+	}
+}
+
 // write writes a body in parts, each with a deadline. A caller who does not read would hold its
 // connection and the memory of the response for ever.
 func (req *request) write(body []byte) {
