ingress: only requests that may wait are kept for changes of their homes

Change: requests that do not wait are not kept. For these the second look at the placement is enough, as before. Nothing is sent if none waits.

Measured: TestHomesHoldAsTheyChange and TestWaitingRequestsFollowTheirHomes pass, ./internal/ingress too.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -102,8 +102,8 @@
 	checks map[backend.Instance]bool
 	// cancels holds the functions that cancel open requests with a prompt, by request ID.
 	cancels map[uint64]context.CancelCauseFunc
-	// placing holds the requests for which the dispatch core looks for a server, by request ID.
-	placing map[uint64]*request
+	// waiting holds the requests that may wait for an engine in the dispatch core, by request ID.
+	waiting map[uint64]*request
 
 	quarantines *quarantineStore
 }
@@ -121,7 +121,7 @@
 		metrics:   newMetrics(), streams: map[uint64]*stream{}, servers: map[string]backend.Server{},
 		requestBodies: readlimit.New(bodyMemory, opts.Heap), responseBodies: readlimit.New(bodyMemory, opts.Heap),
 		drains: map[backend.Instance]*serverDrain{}, checks: map[backend.Instance]bool{}, leaving: map[backend.Instance]bool{}, notBefore: map[backend.Instance]time.Time{}, cancels: map[uint64]context.CancelCauseFunc{},
-		placing:    map[uint64]*request{},
+		waiting:    map[uint64]*request{},
 		successLog: rate.NewLimiter(successLinesPerSecond, 2*successLinesPerSecond),
 	}
 	evacuationBound := time.Duration(bounds.EvacuationMs) * time.Millisecond
--- a/internal/ingress/regions.go
+++ b/internal/ingress/regions.go
@@ -28,14 +28,9 @@
 // callPlace asks the dispatch core for a server. While the request waits there, each new configuration
 // sets its homes anew.
 func (s *Server) callPlace(req *request, place dispatch.PlaceRequest) (dispatch.Action, bool) {
-	s.mu.Lock()
-	s.placing[req.id] = req
-	s.mu.Unlock()
-	defer func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		delete(s.placing, req.id)
-	}()
+	if !place.AbandonAt.IsZero() {
+		defer s.followHomes(req)()
+	}
 	for {
 		place.Homes = s.homesOf(req)
 		action, ok := s.loop.call(req.ctx, req.id, place)
@@ -48,15 +43,29 @@
 	}
 }
 
+// followHomes lets updateHomes set the homes of a request until the returned function is called.
+func (s *Server) followHomes(req *request) (end func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting[req.id] = req
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.waiting, req.id)
+	}
+}
+
 // updateHomes sets the homes of requests that wait for an engine to those of the newest configuration.
 func (s *Server) updateHomes() {
 	s.mu.Lock()
-	homes := make(map[uint64]routing.Homes, len(s.placing))
-	for id, req := range s.placing {
+	homes := make(map[uint64]routing.Homes, len(s.waiting))
+	for id, req := range s.waiting {
 		homes[id] = s.homesOf(req)
 	}
 	s.mu.Unlock()
-	s.loop.post(dispatch.HomesChanged{Homes: homes})
+	if len(homes) > 0 {
+		s.loop.post(dispatch.HomesChanged{Homes: homes})
+	}
 }
 
 // applyEvacuations applies a new set of evacuated data centres.
