headlimit: one way to read a counted connection, and one bound for unread bodies

Change: readCounted serves both connections, BoundUnreadBody both servers, and the methods that handlers call accept the connection that FromContext returns where there is no limiter. Behaviour is the same.

--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -16,8 +16,6 @@
 	// bodyTimeout bounds reading a request body, and bodyIdleTimeout the wait for its next part.
 	bodyTimeout     = 30 * time.Second
 	bodyIdleTimeout = 5 * time.Second
-	// unreadBodyTimeout bounds the time in which the rest of the body of a refused request arrives.
-	unreadBodyTimeout = 500 * time.Millisecond
 	// fullRetryDelay is the advised retry delay when there was no memory for a body.
 	fullRetryDelay = time.Second
 )
@@ -45,11 +43,9 @@
 	conn := http.NewResponseController(req.w)
 	source := &callerBody{ReadCloser: req.r.Body, conn: conn, end: time.Now().Add(bodyTimeout)}
 	limited := headlimit.FromContext(req.r.Context())
-	if limited != nil {
-		limited.AwaitBody()
-	}
+	limited.AwaitBody()
 	body, err := req.memory.ReadAll(http.MaxBytesReader(req.w, source, limit), req.r.ContentLength, limit)
-	if limited != nil && !limited.BodyRead() {
+	if !limited.BodyRead() {
 		return nil, outcome.Refuse(outcome.CallerGone, "closed for other connections while reading the body"), false
 	}
 	var tooLarge *http.MaxBytesError
@@ -75,11 +71,3 @@
 	o.RetryAt = time.Now().Add(fullRetryDelay)
 	return o
 }
-
-// boundUnreadBody bounds the time in which the rest of a refused request's body arrives. Without it an
-// http.Server waits for it before it closes the connection or reads the next request.
-func (req *request) boundUnreadBody() {
-	if req.r.Body != nil && req.r.Body != http.NoBody {
-		_ = http.NewResponseController(req.w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
-	}
-}
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -18,6 +18,7 @@
 	"github.com/pimentohinge/pimentohinge/internal/control"
 	"github.com/pimentohinge/pimentohinge/internal/control/configchain"
 	"github.com/pimentohinge/pimentohinge/internal/engine"
+	"github.com/pimentohinge/pimentohinge/internal/headlimit"
 	"github.com/pimentohinge/pimentohinge/internal/incident"
 	"github.com/pimentohinge/pimentohinge/internal/outcome"
 	"github.com/pimentohinge/pimentohinge/internal/readlimit"
@@ -200,7 +201,7 @@
 		}
 		if req.detached == nil {
 			if o.Cause != outcome.None {
-				req.boundUnreadBody()
+				headlimit.BoundUnreadBody(req.w, req.r)
 			}
 			s.finishRequest(req, o)
 			s.openRequests.done()
--- a/internal/headlimit/conn.go
+++ b/internal/headlimit/conn.go
@@ -55,6 +55,9 @@
 // connection may be closed for another one: a caller that holds back a body keeps others out as one
 // that holds back a head. The request has not run.
 func (c *Conn) AwaitBody() {
+	if c == nil {
+		return
+	}
 	c.limiter.mu.Lock()
 	defer c.limiter.mu.Unlock()
 	if c.element == nil && !c.uncounted {
@@ -65,6 +68,9 @@
 
 // BodyRead records that a request has been read. It reports false if the connection was closed before.
 func (c *Conn) BodyRead() bool {
+	if c == nil {
+		return true
+	}
 	c.limiter.mu.Lock()
 	defer c.limiter.mu.Unlock()
 	if c.awaitsBody() {
@@ -79,6 +85,9 @@
 // Established records that the client of a hijacked connection has proven who it is. The connection
 // does not count any more.
 func (c *Conn) Established() {
+	if c == nil {
+		return
+	}
 	c.limiter.mu.Lock()
 	defer c.limiter.mu.Unlock()
 	c.limiter.remove(c)
@@ -94,6 +103,9 @@
 
 // Evicted reports whether the limiter has closed the connection.
 func (c *Conn) Evicted() bool {
+	if c == nil {
+		return false
+	}
 	c.limiter.mu.Lock()
 	defer c.limiter.mu.Unlock()
 	return c.evicted
@@ -101,19 +113,24 @@
 
 // Read reads from the connection. It fails once the limiter has closed or refused the connection.
 func (c *Conn) Read(p []byte) (int, error) {
-	if c.encrypted && !c.handshaking {
+	switch {
+	case c.handshaking:
+		return c.readCounted(c.Conn, p, handshakeCost, nil)
+	case c.encrypted:
 		return c.Conn.Read(p)
 	}
+	return c.readCounted(c.Conn, p, headCost, c.Conn)
+}
+
+// readCounted reads from the connection beneath c, or from the one with TLS above it, and counts the
+// memory of what it has read. A refusal is written to refuseOn, unless that is nil.
+func (c *Conn) readCounted(from net.Conn, p []byte, cost func(part []byte) int64, refuseOn net.Conn) (int, error) {
 	if err := c.charge(0, nil); err != nil {
 		return 0, err
 	}
-	n, err := c.Conn.Read(p)
+	n, err := from.Read(p)
 	if n > 0 {
-		cost, refuse := costOf(p[:n]), c.refuse
-		if c.handshaking {
-			cost, refuse = handshakeByteFactor*int64(n), nil
-		}
-		if err := c.charge(cost, refuse); err != nil {
+		if err := c.charge(cost(p[:n]), refuseOn); err != nil {
 			return 0, err
 		}
 		c.countBody(n)
@@ -124,12 +141,6 @@
 	return n, err
 }
 
-// refuse writes the refusal beneath Write.
-func (c *Conn) refuse() {
-	_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout))
-	_, _ = c.Conn.Write(c.limiter.opts.Refusal)
-}
-
 // Write writes to the connection. It fails once reading a head has failed: an http.Server takes
 // the part of a line before the failure for a malformed line and would answer 400, which tells the
 // caller not to send its proper request again.
@@ -166,15 +177,15 @@
 	}
 }
 
-// costOf is the memory that a part of a head takes.
-func costOf(part []byte) int64 {
+// headCost is the memory that a part of a head takes.
+func headCost(part []byte) int64 {
 	separators := bytes.Count(part, []byte{'\n'}) + bytes.Count(part, []byte{','})
 	return int64(len(part))*byteFactor + int64(separators)*separatorBytes
 }
 
 // charge counts a part of a head, and closes other connections or refuses this one if there is
-// no memory for it. refuse writes the refusal; nil writes none.
-func (c *Conn) charge(cost int64, refuse func()) error {
+// no memory for it. The refusal is written to refuseOn, unless that is nil.
+func (c *Conn) charge(cost int64, refuseOn net.Conn) error {
 	l := c.limiter
 	l.mu.Lock()
 	l.settle(c)
@@ -213,8 +224,9 @@
 		}
 	}
 	if refused {
-		if refuse != nil && !c.hijacked {
-			refuse()
+		if refuseOn != nil && !c.hijacked {
+			_ = refuseOn.SetWriteDeadline(time.Now().Add(refusalTimeout))
+			_, _ = refuseOn.Write(l.opts.Refusal)
 		}
 		c.mute()
 		return readError(errRefused)
--- a/internal/headlimit/server.go
+++ b/internal/headlimit/server.go
@@ -5,8 +5,12 @@
 	"crypto/tls"
 	"net"
 	"net/http"
+	"time"
 )
 
+// unreadBodyTimeout bounds the time in which the rest of the body of a refused request arrives.
+const unreadBodyTimeout = 500 * time.Millisecond
+
 // Serve serves HTTP on the connections of a listener until the listener fails or the server is
 // closed. It sets the hooks of the server and wraps its handler. The connections use TLS if config is
 // not nil.
@@ -57,16 +61,25 @@
 	return context.WithValue(ctx, connKey{}, limitedConn(conn))
 }
 
-// FromContext returns the connection of a request, or nil if it has no limiter.
+// FromContext returns the connection of a request. It is nil if there is no limiter: AwaitBody,
+// BodyRead, Established and Evicted may be called on it nevertheless.
 func FromContext(ctx context.Context) *Conn {
 	conn, _ := ctx.Value(connKey{}).(*Conn)
 	return conn
 }
 
+// BoundUnreadBody bounds the time in which the rest of a refused request's body arrives. Without it an
+// http.Server waits for it before it closes the connection or reads the next request.
+func BoundUnreadBody(w http.ResponseWriter, r *http.Request) {
+	if r.Body != nil && r.Body != http.NoBody {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+	}
+}
+
 // abortEvicted ends a request whose connection was closed just as its head became complete.
 func abortEvicted(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if conn := FromContext(r.Context()); conn != nil && conn.Evicted() {
+		if FromContext(r.Context()).Evicted() {
 			panic(http.ErrAbortHandler)
 		}
 		next.ServeHTTP(w, r)
--- a/internal/headlimit/tls.go
+++ b/internal/headlimit/tls.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/tls"
 	"net"
-	"time"
 )
 
 // handshakeByteFactor is the memory that is counted for each byte of a TLS handshake: it is kept as
@@ -32,27 +31,11 @@
 		}
 		s.conn.endHandshake()
 	}
-	if err := s.conn.charge(0, nil); err != nil {
-		return 0, err
-	}
-	n, err := s.Conn.Read(p)
-	if n > 0 {
-		if err := s.conn.charge(costOf(p[:n]), s.refuse); err != nil {
-			return 0, err
-		}
-		s.conn.countBody(n)
-	}
-	if err != nil {
-		s.conn.headFailed()
-	}
-	return n, err
+	return s.conn.readCounted(s.Conn, p, headCost, s.Conn)
 }
 
-// refuse writes the refusal.
-func (s *secureConn) refuse() {
-	_ = s.SetWriteDeadline(time.Now().Add(refusalTimeout))
-	_, _ = s.Write(s.conn.limiter.opts.Refusal)
-}
+// handshakeCost is the memory that a part of a handshake takes.
+func handshakeCost(part []byte) int64 { return handshakeByteFactor * int64(len(part)) }
 
 // endHandshake frees the memory of the handshake. A head has not begun yet.
 func (c *Conn) endHandshake() {
--- a/internal/ingress/filters.go
+++ b/internal/ingress/filters.go
@@ -26,8 +26,6 @@
 	defaultBodyBytes = 4 << 20
 	// bodyTimeout bounds reading a request body.
 	bodyTimeout = 2 * time.Second
-	// unreadBodyTimeout bounds the time in which the body of a refused request arrives.
-	unreadBodyTimeout = 500 * time.Millisecond
 	// refusalTimeout bounds the time from the arrival of a request until its refusal is written, and
 	// responseGrace that from its deadline until its response is written.
 	refusalTimeout = 5 * time.Second
@@ -122,7 +120,7 @@
 	req.boundResponse(req.arrived.Add(refusalTimeout))
 	for _, f := range []filter{s.requireConfig, s.matchRoute, s.authorize, s.setDeadline, s.checkStopping, s.readBody} {
 		if out, ok := f(req); !ok {
-			req.boundUnreadBody()
+			headlimit.BoundUnreadBody(req.w, req.r)
 			s.writeRefusal(req, out)
 			s.recordOutcome(req, out)
 			abortIfIncomplete(out)
@@ -224,14 +222,12 @@
 	_ = rc.SetReadDeadline(time.Now().Add(min(bodyTimeout, time.Until(req.deadline))))
 	req.requestMemory = s.requestBodies.Reserve()
 	conn := headlimit.FromContext(req.r.Context())
-	if conn != nil {
-		conn.AwaitBody()
-	}
+	conn.AwaitBody()
 	body, err := req.requestMemory.ReadAll(http.MaxBytesReader(req.w, req.r.Body, int64(limit)), req.r.ContentLength, int64(limit))
 	if err == nil {
 		_ = rc.SetReadDeadline(time.Time{})
 	}
-	if conn != nil && !conn.BodyRead() {
+	if !conn.BodyRead() {
 		return refuse(outcome.CallerGone, "closed for other connections while reading the request body", 0)
 	}
 	var tooLarge *http.MaxBytesError
@@ -258,14 +254,6 @@
 	_ = http.NewResponseController(req.w).SetWriteDeadline(deadline)
 }
 
-// boundUnreadBody bounds the time in which the body of a refused request arrives. Without it an
-// http.Server waits for the rest before it closes the connection or reads the next request.
-func (req *request) boundUnreadBody() {
-	if req.r.Body != nil && req.r.Body != http.NoBody {
-		_ = http.NewResponseController(req.w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
-	}
-}
-
 // writeRefusal sends a problem document in place of a replica's response.
 func (s *Server) writeRefusal(req *request, out outcome.Result) {
 	status := out.Cause.Status()
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -314,9 +314,7 @@
 		return
 	}
 	conn.SetReadLimit(maxFrameBytes)
-	if limited := headlimit.FromContext(r.Context()); limited != nil {
-		limited.Established()
-	}
+	headlimit.FromContext(r.Context()).Established()
 	link := &peerLink{vm: vm, queue: make(chan wire.Frame, maxQueuedFrames)}
 	l.mu.Lock()
 	if l.ctx.Err() != nil {
