--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -14,14 +14,12 @@
 
 	"github.com/phuslu/log"
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/rotisserie/eris"
 
 	"github.com/pimentohinge/pimentohinge/internal/caller"
 	"github.com/pimentohinge/pimentohinge/internal/claim"
 	"github.com/pimentohinge/pimentohinge/internal/control"
 	"github.com/pimentohinge/pimentohinge/internal/control/configchain"
 	"github.com/pimentohinge/pimentohinge/internal/engine"
-	"github.com/pimentohinge/pimentohinge/internal/headlimit"
 	"github.com/pimentohinge/pimentohinge/internal/heapgate"
 	"github.com/pimentohinge/pimentohinge/internal/incident"
 	"github.com/pimentohinge/pimentohinge/internal/machine"
@@ -32,7 +30,6 @@
 	"github.com/pimentohinge/pimentohinge/internal/readlimit"
 	"github.com/pimentohinge/pimentohinge/internal/service"
 	"github.com/pimentohinge/pimentohinge/internal/settings"
-	"github.com/pimentohinge/pimentohinge/internal/sleep"
 	"github.com/pimentohinge/pimentohinge/internal/ticket"
 	"github.com/pimentohinge/pimentohinge/pkg/wire"
 	"github.com/pimentohinge/pimentohinge/platform"
@@ -43,21 +40,11 @@
 	messageQueueLength = 4096
 	maxTimelines       = 20_000
 	timelineBytes      = 4 << 10 // the memory of a timeline
-	headerTimeout      = 10 * time.Second
-	maxHeaderBytes     = 32 << 10
 	// connBytes is the memory of a caller's connection: with TLS, and a connection of its own to a
 	// backend server for each call.
 	connBytes = 64 << 10
 	// bodiesDivisor limits request bodies to one eighth of the memory, and responses to another one.
 	bodiesDivisor = 8
-	// peersTimeout bounds requests of other VMs that do not open a link, and operatorsWriteTimeout the
-	// time until an operator's response is written.
-	peersTimeout          = 5 * time.Second
-	operatorsWriteTimeout = 2 * time.Minute
-	// idleTimeout bounds the time between two requests on a connection.
-	idleTimeout = 2 * time.Minute
-	// limitsInterval is the interval at which the limits of the listeners are reported.
-	limitsInterval = time.Second
 	// closeCallersTimeout bounds the wait for connections of callers to become idle.
 	closeCallersTimeout = time.Second
 )
@@ -243,46 +230,6 @@
 	return nil
 }
 
-// endpoint is one of the interfaces of a VM.
-type endpoint struct {
-	name, addr string
-	handler    http.Handler
-	limits     headlimit.Options
-	// readTimeout bounds reading a whole request, and writeTimeout the time from its head to the end
-	// of the response; 0 means that the handler does. They do not hold for links between VMs.
-	readTimeout, writeTimeout time.Duration
-	// readBuffer is the size of the receive buffers; 0 means the system's.
-	readBuffer int
-	// tls is nil for plain HTTP.
-	tls *tls.Config
-}
-
-// serve opens the listener of an interface and serves HTTP on it.
-func (v *VM) serve(e endpoint) (*http.Server, error) {
-	ln, err := v.opts.Network.Listen(e.addr)
-	if err != nil {
-		return nil, eris.Wrapf(err, "listen for %s at %s", e.name, e.addr)
-	}
-	if err := network.SetReadBuffer(ln, e.readBuffer); err != nil {
-		v.log.Warn().Str("event", "readBuffer").Str("reason", err.Error()).Msg("")
-	}
-	s := &http.Server{
-		Handler: e.handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: e.readTimeout, WriteTimeout: e.writeTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes,
-	}
-	v.servers = append(v.servers, s)
-	limiter := v.listeners.Add(e.name, e.limits)
-	v.spawn(func() { _ = limiter.Serve(s, ln, e.tls) })
-	return s, nil
-}
-
-// reportLimits logs what the limits of the listeners refuse and close.
-func (v *VM) reportLimits() {
-	for sleep.For(v.ctx, limitsInterval) {
-		v.listeners.Report(v.log)
-	}
-}
-
 // spawn runs f in a goroutine that Kill waits for.
 func (v *VM) spawn(f func()) {
 	v.wg.Add(1)
