tests: one set-up of a catalog, one check of crowds at serve, two more crowds

Found by reading the change: the two tests of catalogs on virtual time set up the same network, store and catalog, and the crowds at serve with and without TLS were checked by the same lines twice. runCatalog and checkServeCrowds take their places; crowds, bounds and assertions are the same.

New, as the list of doors had no crowd for them: streams of serve that are not read (400 callers, small buffers, until the engine has generated 300 kB for each) and TLS handshakes held back at its operators' listener.

--- a/internal/catalog/cutoff_test.go
+++ b/internal/catalog/cutoff_test.go
@@ -12,12 +12,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/pimentohinge/pimentohinge/internal/catalog"
-	"github.com/pimentohinge/pimentohinge/internal/logline"
-	"github.com/pimentohinge/pimentohinge/internal/network"
-	"github.com/pimentohinge/pimentohinge/internal/routing"
-	"github.com/pimentohinge/pimentohinge/internal/standin/pipenet"
 	"github.com/pimentohinge/pimentohinge/internal/standin/store"
-	"github.com/pimentohinge/pimentohinge/platform"
 )
 
 // watchCutter answers watches with the head of the response at once and can cut off those that wait.
@@ -68,38 +63,21 @@
 // has not merely expired.
 func TestCutWatchesKeepNoRemovedServer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		fabric := pipenet.New()
-		defer fabric.Close()
 		s := store.New()
-		ln, err := fabric.Host("10.0.0.1").Listen("10.0.0.1:80")
-		if err != nil {
-			t.Fatal(err)
-		}
-		cutter := &watchCutter{next: s.Handler(), cut: make(chan struct{})}
-		server := &http.Server{Handler: cutter}
-		go func() { _ = server.Serve(ln) }()
 		s.SetRaw("servers/s-1", []byte(serverEntry))
 		s.SetRaw("servers/s-2", []byte(serverEntry))
+		cutter := &watchCutter{next: s.Handler(), cut: make(chan struct{})}
 		var mu sync.Mutex
 		beliefs := map[string]string{}
-		ctx, cancel := context.WithCancel(t.Context())
-		vm := catalog.New(catalog.Options{
-			Store: platform.New("http://10.0.0.1:80", network.Client(fabric.Host("10.0.0.2"))), Log: logline.New(discard{}, "error"),
-			PropagationBound: 3 * time.Second, EvacuationBound: 5 * time.Second, OnState: func(*routing.State) {},
-			OnServers: func(changes []catalog.ServerChange) {
-				mu.Lock()
-				defer mu.Unlock()
-				for _, change := range changes {
-					beliefs[change.ID] = map[bool]string{true: "used", false: "gone"}[change.InUse()]
-				}
-			},
-		})
+		vm, stop := runCatalog(t, cutter, catalog.Options{OnServers: func(changes []catalog.ServerChange) {
+			mu.Lock()
+			defer mu.Unlock()
+			for _, change := range changes {
+				beliefs[change.ID] = map[bool]string{true: "used", false: "gone"}[change.InUse()]
+			}
+		}})
+		defer stop()
 		vm.SetLeader(time.Now().Add(time.Hour), 1)
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			vm.Run(ctx)
-		}()
 		expect := func(when, first, second string) {
 			t.Helper()
 			mu.Lock()
@@ -127,9 +105,5 @@
 		expect("after the outage", "gone", "used")
 		time.Sleep(5 * time.Second)
 		expect("after the grace", "gone", "gone")
-		cancel()
-		<-done
-		_ = server.Close()
-		time.Sleep(5 * time.Second)
 	})
 }
--- a/test/headflood/answers_test.go
+++ b/test/headflood/answers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"strconv"
@@ -20,6 +21,8 @@
 	// answerTokens and tokenBytes are the length of the answer of the engine to each request.
 	answerTokens = 300
 	tokenBytes   = 1 << 10
+	// stepTime is the time between two tokens of an answer.
+	stepTime = 5 * time.Millisecond
 )
 
 // startEngine starts an engine that generates long answers fast, for any number of requests at once.
@@ -28,7 +31,7 @@
 	text := strings.Repeat("x", tokenBytes)
 	engine := llm.New(llm.Options{
 		Name: "engine-1", Models: []string{model},
-		Model:  enginesim.Options{CapacityBlocks: 1 << 20, BlockTokens: 16, Slots: 2 * crowdSize, PrefillTokens: 1 << 20, StepBase: 5 * time.Millisecond},
+		Model:  enginesim.Options{CapacityBlocks: 1 << 20, BlockTokens: 16, Slots: 2 * crowdSize, PrefillTokens: 1 << 20, StepBase: stepTime},
 		Length: func(wire.GenerateRequest) int { return answerTokens },
 		Text:   func(string, int) string { return text },
 	})
@@ -39,8 +42,18 @@
 }
 
 // wholeAnswer asks for an answer in one piece.
-func wholeAnswer(conn net.Conn, _, _ int) error {
-	body := `{"model":"writer","prompt":"x","max_tokens":` + strconv.Itoa(answerTokens) + `}`
+func wholeAnswer(conn net.Conn, _, _ int) error { return askForAnswer(conn, false) }
+
+// unreadStream asks for a streamed answer with a small buffer to receive it.
+func unreadStream(conn net.Conn, _, _ int) error {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetReadBuffer(smallBuffer)
+	}
+	return askForAnswer(conn, true)
+}
+
+func askForAnswer(conn net.Conn, stream bool) error {
+	body := fmt.Sprintf(`{"model":"writer","prompt":"x","max_tokens":%d,"stream":%v}`, answerTokens, stream)
 	_, err := io.WriteString(conn, "POST /v1/completions HTTP/1.1\r\nHost: a\r\nConnection: close\r\nAuthorization: Bearer "+workspaceKey+
 		"\r\nContent-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body)
 	return err
@@ -58,3 +71,15 @@
 	t.Logf("statuses %v", statuses)
 	v.checkAndKill(limits{memoryMb, manyDescriptors})
 }
+
+// TestStreamsOfServeThatAreNotRead lets a crowd ask for long streams that it does not read, until the engine
+// has generated them.
+func TestStreamsOfServeThatAreNotRead(t *testing.T) {
+	startEngine(t)
+	v := startServe(t, build(t), nil, manyDescriptors)
+	crowd := crowdPlan{addr: serveCallers, size: crowdSize, rounds: 1, unread: true, write: unreadStream}.run()
+	time.Sleep(answerTokens * stepTime)
+	v.check()
+	crowd.end()
+	v.checkAndKill(limits{memoryMb, manyDescriptors})
+}
--- a/test/headflood/serve_test.go
+++ b/test/headflood/serve_test.go
@@ -226,15 +226,32 @@
 	return nil
 }
 
+// serveCrowd is a crowd at a process of the serve command.
+type serveCrowd struct {
+	name        string
+	descriptors int
+	plan        crowdPlan
+}
+
+// checkServeCrowds lets each crowd arrive at a process of its own. certificate is nil for plain HTTP.
+func checkServeCrowds(t *testing.T, certificate *certificate, crowds []serveCrowd) {
+	t.Helper()
+	program := build(t)
+	for _, c := range crowds {
+		t.Run(c.name, func(t *testing.T) {
+			v := startServe(t, program, certificate, c.descriptors)
+			crowd := c.plan.run()
+			v.check()
+			crowd.end()
+			v.checkAndKill(limits{memoryMb, c.descriptors})
+		})
+	}
+}
+
 // TestCrowdsAtServe guards against clients that take a process of the serve command beyond the memory
 // or the descriptors of its machine.
 func TestCrowdsAtServe(t *testing.T) {
-	program := build(t)
-	for _, c := range []struct {
-		name        string
-		descriptors int
-		plan        crowdPlan
-	}{
+	checkServeCrowds(t, nil, []serveCrowd{
 		{"callers", maxDescriptors, crowdPlan{addr: serveCallers, size: crowdSize, rounds: crowdRounds, write: heldServeHead}},
 		{"operators", maxDescriptors, crowdPlan{addr: serveOperators, size: crowdSize, rounds: crowdRounds, write: heldServeHead}},
 		{"peers", maxDescriptors, crowdPlan{addr: servePeers, size: crowdSize, rounds: crowdRounds, write: heldServeHead}},
@@ -246,15 +263,7 @@
 		{"refusedBodies", maxDescriptors, crowdPlan{addr: serveCallers, size: crowdSize, rounds: 1, unread: true, write: announceBody("POST /services/tags/entries", "")}},
 		{"operatorsBodies", maxDescriptors, crowdPlan{addr: serveOperators, size: crowdSize, rounds: 1, unread: true, write: announceBody("POST /v1/releases", "")}},
 		{"paths", manyDescriptors, crowdPlan{addr: serveCallers, size: pathCrowd, rounds: 1, write: longPaths}},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			v := startServe(t, program, nil, c.descriptors)
-			crowd := c.plan.run()
-			v.check()
-			crowd.end()
-			v.checkAndKill(limits{memoryMb, c.descriptors})
-		})
-	}
+	})
 }
 
 // TestCrowdsAtAllListenersOfServeAtOnce lets crowds arrive at all listeners at the same time.
@@ -286,26 +295,14 @@
 
 // TestCrowdsAtServeWithTLS does the same on listeners with TLS.
 func TestCrowdsAtServeWithTLS(t *testing.T) {
-	program := build(t)
 	certificate := newCertificate(t)
-	for _, c := range []struct {
-		name        string
-		descriptors int
-		plan        crowdPlan
-	}{
+	checkServeCrowds(t, certificate, []serveCrowd{
 		{"callers", maxDescriptors, crowdPlan{addr: serveCallers, size: crowdSize, rounds: crowdRounds, tls: certificate.client, write: heldServeHead}},
 		{"operators", maxDescriptors, crowdPlan{addr: serveOperators, size: crowdSize, rounds: crowdRounds, tls: certificate.client, write: heldServeHead}},
 		{"callersHandshake", manyDescriptors, crowdPlan{addr: serveCallers, size: crowdSize, rounds: crowdRounds, write: heldHandshake}},
 		{"peersHandshake", manyDescriptors, crowdPlan{addr: servePeers, size: crowdSize, rounds: crowdRounds, write: heldHandshake}},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			v := startServe(t, program, certificate, c.descriptors)
-			crowd := c.plan.run()
-			v.check()
-			crowd.end()
-			v.checkAndKill(limits{memoryMb, c.descriptors})
-		})
-	}
+		{"operatorsHandshake", manyDescriptors, crowdPlan{addr: serveOperators, size: crowdSize, rounds: crowdRounds, write: heldHandshake}},
+	})
 }
 
 // TestWhatRequestsToServeLeaveBehind sends requests one after the other, of each of which the process
