--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -177,7 +177,7 @@
 	linearizableAt, linearizableOnlyUntil time.Time
 	// calledAt is when the last call began.
 	calledAt time.Time
-	// cutOff is set when the last watch was cut off and the store has not been called since.
+	// cutOff is set when the last watch was cut off, until the next call.
 	cutOff bool
 	// behind is set when another VM reported a change whose objects this VM lacks.
 	behind bool
@@ -223,8 +223,8 @@
 			c.opts.OnStoreCall(handler.prefix, linearizable, status)
 		}
 		if status == platform.CutOff && !cur.cutOff && !cur.storeDown && !interrupted {
-			// The store may cut off watches that wait while it is available. The next call, which does
-			// not wait, tells.
+			// The store may cut off watches that wait while it is available. It counts as unavailable
+			// if the next call, which does not wait, fails too.
 			cur.cutOff = true
 			continue
 		}
--- a/internal/machine/detect.go
+++ b/internal/machine/detect.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// unknownBytes is the memory that is assumed where the system does not tell it.
+	// unknownBytes is the memory that is assumed where the system does not say.
 	unknownBytes = 1 << 30
 	// maxDescriptors is the number of descriptors above which a limit counts as none.
 	maxDescriptors = 1 << 24
