network: a reset that a write reports is no end of a response

What callers saw: a replica answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. In serve, the same for plain services.

Cause: the kernel reports the loss of a connection to one call only. The request is written beside the read of the response. If the write takes the error, the next read returns 0 bytes, as after an orderly close, and a body without length or chunks ends there. The result of the write was used only to decide whether the connection is kept.

Change: connections that network.TCP opens store the error of a failed write. At the end of the connection, Read waits for the write in progress and returns its error instead of io.EOF. The replica pool and all clients of net/http use these connections. Responses with a length or chunks never read the end, so they neither wait nor fail. What may have run still gets 502.

Why it works: a write is counted before it calls the kernel and stores its error before it is counted out, so a read whose end is due to the write's error finds the count or the error.

--- a/internal/network/network.go
+++ b/internal/network/network.go
@@ -48,7 +48,11 @@
 			return nil
 		}
 	}
-	return d.DialContext(ctx, "tcp", addr)
+	c, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return newConn(c), nil
 }
 
 // SecureClient returns a client like Client that uses config for https and wss URLs.
--- a/internal/standin/upstream/fault.go
+++ b/internal/standin/upstream/fault.go
@@ -56,8 +56,17 @@
 	// SendsStatus runs the request and responds with the status line of Options.StatusLine. The
 	// connection stays open.
 	SendsStatus
+	// ResetsEarly runs the request, sends the start of a response that has neither a length nor
+	// chunks before it has read the body of the request, and resets the connection.
+	ResetsEarly
+	// EndsEarly is ResetsEarly with the whole response and the end of its direction of the
+	// connection. It then reads the request to its end.
+	EndsEarly
 )
 
+// IsEarly reports whether the response is sent before the body of the request has been read.
+func (f Fault) IsEarly() bool { return f == ResetsEarly || f == EndsEarly }
+
 // LongEventBytes is the number of bytes that HoldsLongEvent sends.
 const LongEventBytes = 250_000
 
--- a/internal/standin/upstream/raw.go
+++ b/internal/standin/upstream/raw.go
@@ -52,6 +52,8 @@
 		_, _ = io.WriteString(conn, stream[:len(stream)-1])
 	case StreamEndsBeforeEvents:
 		_, _ = io.WriteString(conn, rawStream(attempt, 0))
+	case ResetsEarly, EndsEarly:
+		r.respondEarly(conn, attempt, fault)
 	case CloseDelimited:
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Pimentohinge-Attempt-Id: %s\r\nX-Pimentohinge-Response-Stamp: s\r\n\r\n%s", attempt, body)
 	case SendsExtraResponse:
@@ -61,6 +63,30 @@
 	_ = conn.Close()
 }
 
+// earlyPart is the part of an early response that ResetsEarly sends.
+const earlyPart = 3
+
+// respondEarly responds to a request whose body has not been read. A stream has RawStreamEvents events.
+func (r *Replica) respondEarly(conn net.Conn, attempt string, fault Fault) {
+	response := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Pimentohinge-Attempt-Id: %s\r\nX-Pimentohinge-Response-Stamp: s\r\n\r\n%s", attempt, ResponseBody(attempt))
+	part := response[:len(response)-earlyPart]
+	if r.opts.Engine != nil {
+		response, part = rawStream(attempt, RawStreamEvents), rawStream(attempt, RawStreamEvents-earlyPart)
+	}
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		panic("upstream: early responses need TCP")
+	}
+	if fault == ResetsEarly {
+		_, _ = io.WriteString(tcp, part)
+		_ = tcp.SetLinger(0)
+		return
+	}
+	_, _ = io.WriteString(tcp, response)
+	_ = tcp.CloseWrite()
+	_, _ = io.Copy(io.Discard, tcp)
+}
+
 // endlessBlock is the number of bytes in one write of a response without end.
 const endlessBlock = 4096
 
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -237,11 +237,13 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	_, _ = io.Copy(io.Discard, req.Body)
 	fault := None
 	if r.opts.Fault != nil {
 		fault = r.opts.Fault(attempt)
 	}
+	if !fault.IsEarly() {
+		_, _ = io.Copy(io.Discard, req.Body)
+	}
 	switch fault {
 	case Overloaded:
 		r.respondNotExecuted(w, attempt)
--- a/test/gateway/env_test.go
+++ b/test/gateway/env_test.go
@@ -33,7 +33,8 @@
 
 // testEnv is an entry VM with a simulated store and replicas, on virtual time.
 type testEnv struct {
-	t         *testing.T
+	t *testing.T
+	// network is nil in tests over TCP.
 	network   *pipenet.Fabric
 	store     *store.Store
 	upstreams *upstream.Cluster
@@ -47,6 +48,8 @@
 	successorStarts map[string]time.Time
 	// wrapNetwork, when not nil, replaces the network of the VMs that are started.
 	wrapNetwork func(network.Network) network.Network
+	// bodyBytes is the longest body of a request.
+	bodyBytes int
 	// evacuationMs is the bound for evacuations of the VMs that are started.
 	evacuationMs int
 }
@@ -80,31 +83,51 @@
 	t.Helper()
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
-		env := &testEnv{
-			t: t, network: pipenet.New(), store: store.New(), upstreams: upstream.NewCluster(), logs: &logBuffer{},
-			replicas: map[string]*upstream.Replica{}, successorStarts: map[string]time.Time{}, callersAddr: callersAddr,
-		}
+		env := newEnv(t)
+		env.network = pipenet.New()
 		env.network.Delay = func(from, to string) time.Duration {
 			if from == to {
 				return 0
 			}
 			return 250 * time.Microsecond
 		}
-		defer env.close()
-		defer func() {
-			if t.Failed() {
-				t.Log(env.logs.text())
-			}
-		}()
-		env.startStore()
-		env.configure(1, nil)
-		env.startVM()
-		test(t, env)
+		env.run(test)
 	})
 }
 
+// newEnv returns an environment whose network is TCP.
+func newEnv(t *testing.T) *testEnv {
+	return &testEnv{
+		t: t, store: store.New(), upstreams: upstream.NewCluster(), logs: &logBuffer{},
+		replicas: map[string]*upstream.Replica{}, successorStarts: map[string]time.Time{}, callersAddr: callersAddr,
+		bodyBytes: 1 << 20,
+	}
+}
+
+// run runs a test with one started VM.
+func (env *testEnv) run(test func(t *testing.T, env *testEnv)) {
+	defer env.close()
+	defer func() {
+		if env.t.Failed() {
+			env.t.Log(env.logs.text())
+		}
+	}()
+	env.startStore()
+	env.configure(1, nil)
+	env.startVM()
+	test(env.t, env)
+}
+
+// host returns the network as a host uses it.
+func (env *testEnv) host(host string) network.Network {
+	if env.network == nil {
+		return loopbackNetwork{}
+	}
+	return env.network.Host(host)
+}
+
 func (env *testEnv) startStore() {
-	ln, err := env.network.Host(storeHost).Listen(storeAddr)
+	ln, err := env.host(storeHost).Listen(storeAddr)
 	if err != nil {
 		env.t.Fatal(err)
 	}
@@ -120,6 +143,9 @@
 	for _, replica := range env.replicas {
 		replica.Stop()
 	}
+	if env.network == nil {
+		return
+	}
 	env.network.Close()
 	// Gives the simulated servers time to detect that their connections are closed.
 	time.Sleep(2 * time.Second)
@@ -145,7 +171,7 @@
 
 // newVMIn starts an entry VM in a data centre.
 func (env *testEnv) newVMIn(dataCentre, name, host string) *ingress.Server {
-	vmNetwork := env.network.Host(host)
+	vmNetwork := env.host(host)
 	if env.wrapNetwork != nil {
 		vmNetwork = env.wrapNetwork(vmNetwork)
 	}
@@ -199,7 +225,7 @@
 				"moves": true, "stride": 4, "handleS": 5.0,
 			}},
 		},
-		"limits": object{"headerBytes": 16384, "bodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"limits": object{"headerBytes": 16384, "bodyBytes": env.bodyBytes, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	}
 	if workspaces != nil {
 		config["tenants"] = workspaces
@@ -236,7 +262,7 @@
 func (env *testEnv) startReplicaWith(id, service, dataCentre string, opts upstream.Options) {
 	host := "10.1.64." + strconv.Itoa(len(env.replicas)+1)
 	address := host + ":80"
-	opts.ID, opts.Address, opts.Network, opts.ServiceTime = id, address, env.network.Host(host), 15*time.Millisecond
+	opts.ID, opts.Address, opts.Network, opts.ServiceTime = id, address, env.host(host), 15*time.Millisecond
 	replica, err := env.upstreams.Start(opts)
 	if err != nil {
 		env.t.Fatal(err)
@@ -277,7 +303,7 @@
 
 // callWithBody is call with a body.
 func (env *testEnv) callWithBody(ctx context.Context, method, path, attempt string, header http.Header, body string) response {
-	client := network.Client(env.network.Host("10.3.0.1"))
+	client := network.Client(env.host("10.3.0.1"))
 	defer client.CloseIdleConnections()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+env.callersAddr+path, strings.NewReader(body))
 	if err != nil {
