network: a reset that a peek reports is no end of a response

What callers could see: the start of a response without length or chunks as a complete one, when a VM looked at its open connections just as the server reset that connection. Not seen in the product.

Pool.OpenInUse and Reserved.Send look at connections by recv with MSG_PEEK while they are read. If that call takes the error, the read ends as after an orderly close.

Change: looking at a connection moved from internal/replica to network.Peek. The error that it gets is kept like that of a write, and Read returns it.

--- a/internal/network/conn_test.go
+++ b/internal/network/conn_test.go
@@ -17,6 +17,8 @@
 	readBufferBytes = 16 << 10
 	// settleTime is how long a reset takes at most to be seen on loopback.
 	settleTime = 200 * time.Millisecond
+	// peekRounds is how often a case is tried whose reads and peeks race.
+	peekRounds = 200
 )
 
 // dialPair opens a TCP connection and returns both ends. The accepted one has a small buffer.
@@ -81,6 +83,63 @@
 	}
 }
 
+// TestResetThatAPeekReports resets connections whose input is looked at before it is read.
+func TestResetThatAPeekReports(t *testing.T) {
+	dialled, accepted := dialPair(t)
+	if got := network.Peek(dialled); got != network.InputNone {
+		t.Errorf("input %d before anything was sent, want none", got)
+	}
+	_, _ = io.WriteString(accepted, "part")
+	time.Sleep(settleTime)
+	if got := network.Peek(dialled); got != network.InputBytes {
+		t.Errorf("input %d of a part, want bytes", got)
+	}
+	if _, err := io.ReadFull(dialled, make([]byte, len("part"))); err != nil {
+		t.Fatal(err)
+	}
+	reset(accepted)
+	time.Sleep(settleTime)
+	for range 2 {
+		if got := network.Peek(dialled); got != network.InputEnd {
+			t.Errorf("input %d after the reset, want the end", got)
+		}
+	}
+	for range 2 {
+		if b, err := io.ReadAll(dialled); !errors.Is(err, syscall.ECONNRESET) {
+			t.Errorf("read %q, error %v", b, err)
+		}
+	}
+}
+
+// TestPeeksBesideARead looks at connections all the time while they are read and reset, or ended in order.
+func TestPeeksBesideARead(t *testing.T) {
+	for name, c := range map[string]struct {
+		end  func(*net.TCPConn)
+		want error
+	}{
+		"reset": {reset, syscall.ECONNRESET},
+		"ended": {func(c *net.TCPConn) { _ = c.CloseWrite() }, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for range peekRounds {
+				dialled, accepted := dialPair(t)
+				peeked := make(chan struct{})
+				go func() {
+					defer close(peeked)
+					for network.Peek(dialled) != network.InputEnd {
+					}
+				}()
+				_, _ = io.WriteString(accepted, "part")
+				go c.end(accepted)
+				if b, err := io.ReadAll(dialled); !errors.Is(err, c.want) {
+					t.Errorf("read %q, error %v; want %v", b, err, c.want)
+				}
+				<-peeked
+			}
+		})
+	}
+}
+
 // TestEndBesideAWrite closes one direction beside a write. It is a proper end once the write has ended.
 func TestEndBesideAWrite(t *testing.T) {
 	dialled, accepted := dialPair(t)
--- a/internal/replica/conn.go
+++ b/internal/replica/conn.go
@@ -3,9 +3,9 @@
 import (
 	"bufio"
 	"net"
-	"syscall"
 	"time"
 
+	"github.com/pimentohinge/pimentohinge/internal/network"
 	"github.com/pimentohinge/pimentohinge/internal/readlimit"
 )
 
@@ -48,45 +48,10 @@
 
 // noPendingInput reports whether an idle connection has neither been closed by the
 // replica nor received bytes that belong to no request.
-func (c *conn) noPendingInput() bool { return c.reader.Buffered() == 0 && c.peek() == inputNone }
+func (c *conn) noPendingInput() bool {
+	return c.reader.Buffered() == 0 && network.Peek(c.Conn) == network.InputNone
+}
 
 // closedByPeer reports whether the replica has closed the connection and everything that it
 // sent before has been read. It may be called while the connection is read.
-func (c *conn) closedByPeer() bool { return c.peek() == inputEnd }
-
-// input is what a connection has received that has not been read.
-type input int
-
-const (
-	inputNone input = iota
-	inputBytes
-	inputEnd
-)
-
-// peek returns what the operating system has received on the connection. A connection of
-// another network has inputNone.
-func (c *conn) peek() input {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return inputNone
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return inputEnd
-	}
-	found := inputEnd
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		switch {
-		case err == syscall.EAGAIN:
-			found = inputNone
-		case err == nil && n > 0:
-			found = inputBytes
-		}
-	})
-	if err != nil {
-		return inputEnd
-	}
-	return found
-}
+func (c *conn) closedByPeer() bool { return network.Peek(c.Conn) == network.InputEnd }
--- a/internal/replica/earlyresponse_test.go
+++ b/internal/replica/earlyresponse_test.go
@@ -168,3 +168,33 @@
 		})
 	}
 }
+
+// TestResetIsReportedToAPeek guards against MIXED: a look at the open connections gets the error of a reset
+// before the body of a response without a length is read to its end.
+func TestResetIsReportedToAPeek(t *testing.T) {
+	reset := make(chan struct{})
+	server := startEarlyReplica(t, unframed, func(c *net.TCPConn, request *http.Request) {
+		<-reset
+		resetConn(c, request)
+	})
+	pool := replica.New(network.TCP{})
+	resp, err := pool.Send(t.Context(), instanceAt(server.address), request("a", ""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Close()
+	if _, err := io.ReadFull(resp, make([]byte, len("body"))); err != nil {
+		t.Fatal(err)
+	}
+	if open := pool.OpenInUse(instanceAt(server.address)); open != 1 {
+		t.Errorf("%d open connections, want 1", open)
+	}
+	close(reset)
+	time.Sleep(settleTime)
+	if open := pool.OpenInUse(instanceAt(server.address)); open != 0 {
+		t.Errorf("%d open connections after the reset, want 0", open)
+	}
+	if rest, err := io.ReadAll(resp); !errors.Is(err, replica.ErrTruncated) {
+		t.Errorf("read %q, error %v; want %v", rest, err, replica.ErrTruncated)
+	}
+}
