responsehead: a response with an invalid field name is none

What callers saw: with a blank in the name of a field ("X Odd: a", "X-Odd : a"), a 200 without that field; with "Content-Length : 2" or "Transfer-Encoding : chunked" as the only framing, 504 at the deadline or a stream that was cut off after 39 s; beside real framing, a 200. serve passed the frames of chunks on as body, began streams, accepted orders and confirmed cancels; responses of the store counted.

Cause: net/http accepts a blank in the name of a field of a response and leaves the name as it is, so that the field is not the one that it looks like.

Change: internal/responsehead checks names with httpguts of golang.org/x/net, at the version that the module graph had, and those of the trailer at the end of the body. It is called where a response is read: first, interim and skipped responses and control calls (internal/replica), streams of engines (internal/engine), and in the transport of all net/http clients, for interim responses too (internal/network). Callers get 502 at once, a safe request goes to another server, and the connection is closed. A connection whose response has no body is idle by then, so the transport closes its idle connections.

Why it works: http.Header keeps every name as it was sent, so that the check sees what the parser saw; all else that is not in the grammar the parser rejects.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -20,6 +20,7 @@
 	"github.com/pimentohinge/pimentohinge/internal/network"
 	"github.com/pimentohinge/pimentohinge/internal/outcome"
 	"github.com/pimentohinge/pimentohinge/internal/readlimit"
+	"github.com/pimentohinge/pimentohinge/internal/responsehead"
 	"github.com/pimentohinge/pimentohinge/pkg/wire"
 )
 
@@ -131,7 +132,10 @@
 	header.Begin(maxHeaderBytes)
 	defer header.End()
 	resp, err := http.ReadResponse(bufio.NewReaderSize(header, connBufferBytes), req)
-	return resp, eris.Wrap(err, "read response")
+	if err != nil {
+		return nil, eris.Wrap(err, "read response")
+	}
+	return resp, responsehead.Check(resp)
 }
 
 // refusalCause returns why an engine refused a generation. It reports false if the
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -1,6 +1,7 @@
 package engine_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -217,3 +218,51 @@
 		}
 	}
 }
+
+// respondingNetwork is a network that sends the same response to each request.
+type respondingNetwork struct{ response string }
+
+func (respondingNetwork) Listen(string) (net.Listener, error) { return nil, net.ErrClosed }
+
+func (n respondingNetwork) Dial(context.Context, string) (net.Conn, error) {
+	near, far := net.Pipe()
+	go func() {
+		defer func() { _ = far.Close() }()
+		req, err := http.ReadRequest(bufio.NewReader(far))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		_, _ = io.WriteString(far, n.response)
+	}()
+	return near, nil
+}
+
+// TestInvalidFieldNameIsNoResponse sends a field whose name is none in the responses to all calls. No
+// stream begins, and nothing is confirmed.
+func TestInvalidFieldNameIsNoResponse(t *testing.T) {
+	const addr = "10.0.0.1:1"
+	respond := func(field, body string) *engine.Client {
+		return engine.New(respondingNetwork{fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", field, len(body), body)})
+	}
+	for field, valid := range map[string]bool{"X-Even: a\r\n": true, "X Odd: a\r\n": false, "Content-Length : 2\r\n": false} {
+		events := respond(field, tokenEvents(0))
+		if stream, _, mayHaveRun := events.Start(t.Context(), addr, wire.GenerateRequest{Generation: "g"}, time.Minute); (stream != nil) != valid || !mayHaveRun {
+			t.Errorf("%q: stream %v, may have run: %v", field, stream != nil, mayHaveRun)
+		}
+		if stream, _ := events.Resume(t.Context(), addr, "g", 0, time.Minute); (stream != nil) != valid {
+			t.Errorf("%q: resumed %v", field, stream != nil)
+		}
+		if got := respond(field, "").Cancel(t.Context(), addr, "g"); got != valid {
+			t.Errorf("%q: cancelled %v", field, got)
+		}
+		order := wire.Order{DeadlineUnixMs: int(time.Now().Add(time.Minute).UnixMilli())}
+		if got, _ := respond(field, "").SendOrder(t.Context(), addr, order); got != valid {
+			t.Errorf("%q: order accepted %v", field, got)
+		}
+		report := `{"capacityBlocks":1,"blockTokens":1,"slots":1}`
+		if got, ok := respond(field, report).LoadReport(t.Context(), addr); ok != valid {
+			t.Errorf("%q: load report %+v", field, got)
+		}
+	}
+}
--- a/internal/network/network.go
+++ b/internal/network/network.go
@@ -7,8 +7,12 @@
 	"crypto/tls"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
 	"syscall"
 	"time"
+
+	"github.com/pimentohinge/pimentohinge/internal/responsehead"
 )
 
 // Network opens listeners and connections. Addresses consist of an IP and a port.
@@ -55,31 +59,48 @@
 	return newConn(c), nil
 }
 
+// Client returns an HTTP client over a network. It does not follow redirects, use
+// proxies or decompress responses. It returns an error for responses whose heads are not valid.
+func Client(n Network) *http.Client { return SecureClient(n, nil) }
+
 // SecureClient returns a client like Client that uses config for https and wss URLs.
 func SecureClient(n Network, config *tls.Config) *http.Client {
-	c := Client(n)
-	if t, ok := c.Transport.(*http.Transport); ok {
-		t.TLSClientConfig = config
-	}
-	return c
-}
-
-// Client returns an HTTP client over a network. It does not follow redirects, use
-// proxies or decompress responses.
-func Client(n Network) *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: transport{&http.Transport{
 			DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
 				return n.Dial(ctx, addr)
 			},
 			MaxIdleConnsPerHost: maxIdlePerHost, IdleConnTimeout: idleTimeout,
 			ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes,
-			DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
-		},
+			DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes, TLSClientConfig: config,
+		}},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
 
+// transport checks the heads of responses, also of interim ones.
+type transport struct{ *http.Transport }
+
+// RoundTrip sends a request and returns its response.
+func (t transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
+		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error {
+			return responsehead.CheckNames(http.Header(header))
+		},
+	})
+	resp, err := t.Transport.RoundTrip(req.WithContext(ctx))
+	if err != nil {
+		return nil, err
+	}
+	if err := responsehead.Check(resp); err != nil {
+		_ = resp.Body.Close()
+		// The connection of a response without a body is idle already.
+		t.CloseIdleConnections()
+		return nil, err
+	}
+	return resp, nil
+}
+
 // SetReadBuffer sets the size in bytes of the buffers in which the connections of a listener receive
 // what has not been read; 0 leaves them as they are. Only listeners of TCP have such buffers.
 func SetReadBuffer(ln net.Listener, bytes int) error {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -19,6 +19,7 @@
 
 	"github.com/pimentohinge/pimentohinge/internal/backend"
 	"github.com/pimentohinge/pimentohinge/internal/network"
+	"github.com/pimentohinge/pimentohinge/internal/responsehead"
 	"github.com/pimentohinge/pimentohinge/platform"
 )
 
@@ -395,6 +396,9 @@
 		if err != nil {
 			return nil, eris.Wrapf(ErrMalformed, "read header: %v", err)
 		}
+		if err := responsehead.Check(resp); err != nil {
+			return nil, eris.Wrapf(ErrMalformed, "read header: %v", err)
+		}
 		switch {
 		case resp.StatusCode >= http.StatusOK && resp.StatusCode <= maxStatus:
 			return resp, nil
@@ -420,6 +424,9 @@
 		r.exchange.release()
 		return n, err
 	}
+	if errors.Is(err, responsehead.ErrFieldName) {
+		return n, eris.Wrapf(ErrMalformed, "read trailer: %v", err)
+	}
 	if err != nil {
 		return n, eris.Wrapf(ErrTruncated, "read body: %v", err)
 	}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -16,6 +16,7 @@
 	"github.com/pimentohinge/pimentohinge/internal/mutation"
 	"github.com/pimentohinge/pimentohinge/internal/outcome"
 	"github.com/pimentohinge/pimentohinge/internal/readlimit"
+	"github.com/pimentohinge/pimentohinge/internal/responsehead"
 )
 
 const (
@@ -135,5 +136,8 @@
 	if connected {
 		o.Kind = outcome.Unknown
 	}
+	if errors.Is(err, responsehead.ErrFieldName) {
+		o.Cause = outcome.BrokenResponse
+	}
 	return o
 }
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -139,6 +139,27 @@
 	}
 }
 
+// TestInvalidFieldNameIsNoResponse lets a backend send names of fields that are none.
+func TestInvalidFieldNameIsNoResponse(t *testing.T) {
+	for _, response := range []string{
+		"HTTP/1.1 200 OK\r\nX Odd: a\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\nContent-Length: 12\r\nTransfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-Odd : a\r\n\r\n",
+		"HTTP/1.1 103 Early Hints\r\nX Odd: a\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+	} {
+		address := startBackend(t, func(c net.Conn, r *bufio.Reader) {
+			if _, err := http.ReadRequest(r); err == nil {
+				_, _ = io.WriteString(c, response)
+			}
+		})
+		resp, result := do(t, service.New(network.Client(network.TCP{}), readlimit.New(maxMemory, nil)), address, "/x")
+		if result.Kind != outcome.Unknown || result.Cause != outcome.BrokenResponse || resp.Status != 0 {
+			t.Errorf("%q: %+v, %+v", response, resp, result)
+		}
+	}
+}
+
 // TestResponsesTakeMemoryUntilTheyAreReleased reads a response while another one takes the memory.
 func TestResponsesTakeMemoryUntilTheyAreReleased(t *testing.T) {
 	const length = 20_000
--- a/internal/standin/upstream/fault.go
+++ b/internal/standin/upstream/fault.go
@@ -56,6 +56,9 @@
 	// SendsStatus runs the request and responds with the status line of Options.StatusLine. The
 	// connection stays open.
 	SendsStatus
+	// SendsRaw runs the request and responds with the bytes of Options.RawResponse. The connection
+	// stays open.
+	SendsRaw
 	// ResetsEarly runs the request, sends the start of a response that has neither a length nor
 	// chunks before it has read the body of the request, and resets the connection.
 	ResetsEarly
--- a/internal/standin/upstream/raw.go
+++ b/internal/standin/upstream/raw.go
@@ -32,6 +32,9 @@
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s\r\nX-Pimentohinge-Attempt-Id: %s\r\nX-Pimentohinge-Response-Stamp: s\r\nContent-Length: %d\r\n\r\n%s",
 			r.opts.StatusLine(attempt), attempt, len(body), body)
 		_, _ = io.Copy(io.Discard, conn)
+	case SendsRaw:
+		_, _ = io.WriteString(conn, r.opts.RawResponse(attempt))
+		_, _ = io.Copy(io.Discard, conn)
 	case SendsMalformed:
 		_, _ = io.WriteString(conn, "\x00\x01 no answer\r\n\r\n")
 	case SendsEndlessHeader:
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -51,6 +51,8 @@
 	// StatusLine returns the status and the reason of the response to an attempt with the fault
 	// SendsStatus.
 	StatusLine func(attempt string) string
+	// RawResponse returns the bytes of the response to an attempt with the fault SendsRaw.
+	RawResponse func(attempt string) string
 	// CrashesSilently makes it crash before it has sent the header of the response.
 	CrashesSilently bool
 	// EndsWithConnection makes its streams have neither a length nor chunks.
