engine: a refusal has the status of an error

What callers saw (serve): an engine in trouble answers the start of a generation with a status that does not exist, or with one of success, and a body that names a cause. The caller was told that the request had not run, though it may have (REFUSED).

Cause: any status but 200 was searched for a cause; the range of the status was not looked at, as it is in internal/replica and internal/service.

Change: only a response with a status from 400 to 599 is a refusal. Anything else may have begun the generation.

Evidence: the cases 000, 099, 202, 600 and 999 of TestFailureOfAnEngineIsNoRefusal failed before and pass now. All other places where a status is read held: TestStatusThatIsNoneIsNoResponse (test/gateway, internal/service), TestBrokenHeadIsNoResponse (platform).

Command: go test ./internal/engine (x86-64).

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -31,6 +31,8 @@
 	connBufferBytes = 1024
 	// maxHeaderBytes limits the header of a response.
 	maxHeaderBytes = 64 << 10
+	// maxStatus is the largest status of a response.
+	maxStatus = 599
 )
 
 // Client calls engines. It is safe for concurrent use.
@@ -139,8 +141,12 @@
 }
 
 // refusalCause returns why an engine refused a generation. It reports false if the
-// response names no cause: the engine failed and may have begun the generation.
+// response names no cause or has no status of an error: the engine failed and may have
+// begun the generation.
 func refusalCause(resp *http.Response) (cause outcome.Cause, refused bool) {
+	if resp.StatusCode < http.StatusBadRequest || resp.StatusCode > maxStatus {
+		return outcome.EngineLost, false
+	}
 	var r struct {
 		Cause string `json:"cause"`
 	}
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -210,6 +210,11 @@
 		"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 5\r\n\r\nwrong":                 true,
 		"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n":                        true,
 		"HTTP/1.1 502 Bad Gateway\r\nContent-Length: 20\r\n\r\n{\"cause\":\"":                  true,
+		"HTTP/1.1 000 None\r\nContent-Length: 17\r\n\r\n{\"cause\":\"full\"}\n":                true,
+		"HTTP/1.1 099 None\r\nContent-Length: 17\r\n\r\n{\"cause\":\"full\"}\n":                true,
+		"HTTP/1.1 202 Accepted\r\nContent-Length: 17\r\n\r\n{\"cause\":\"full\"}\n":            true,
+		"HTTP/1.1 600 None\r\nContent-Length: 17\r\n\r\n{\"cause\":\"full\"}\n":                true,
+		"HTTP/1.1 999 None\r\nContent-Length: 17\r\n\r\n{\"cause\":\"full\"}\n":                true,
 	} {
 		c := engine.New(cannedNetwork{response})
 		stream, _, mayHaveRun := c.Start(t.Context(), "10.0.0.1:1", wire.GenerateRequest{Generation: "g"}, time.Minute)
