--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -243,8 +243,8 @@
 	return near, nil
 }
 
-// TestInvalidFieldNameIsNoResponse sends a field whose name is none in the responses to all calls. No
-// stream begins, and nothing is confirmed.
+// TestInvalidFieldNameIsNoResponse sends an invalid field name in the responses to all calls. No stream
+// begins, and nothing is confirmed.
 func TestInvalidFieldNameIsNoResponse(t *testing.T) {
 	const addr = "10.0.0.1:1"
 	respond := func(field, body string) *engine.Client {
--- a/internal/network/client_test.go
+++ b/internal/network/client_test.go
@@ -52,7 +52,7 @@
 	return string(b), err
 }
 
-// TestClientRefusesInvalidFieldNames reads responses with names of fields that are none.
+// TestClientRefusesInvalidFieldNames reads responses with invalid field names.
 func TestClientRefusesInvalidFieldNames(t *testing.T) {
 	for response, want := range map[string]error{
 		"HTTP/1.1 200 OK\r\nX Odd: a\r\nContent-Length: 2\r\n\r\nok":                                                       responsehead.ErrFieldName,
@@ -71,8 +71,8 @@
 	}
 }
 
-// TestConnectionOfInvalidResponseIsClosed sends a response without a body that is not valid. What follows
-// on its connection must not be the next response.
+// TestConnectionOfInvalidResponseIsClosed sends an invalid response without a body. What follows on its
+// connection must not be the next response.
 func TestConnectionOfInvalidResponseIsClosed(t *testing.T) {
 	client := network.Client(network.TCP{})
 	defer client.CloseIdleConnections()
--- a/internal/responsehead/responsehead.go
+++ b/internal/responsehead/responsehead.go
@@ -1,6 +1,6 @@
-// Package responsehead checks the heads of HTTP responses. net/http accepts names of
-// fields that no sender may use: a line like "Content-Length : 2" is then a field of
-// another name, and the body ends where the sender did not end it.
+// Package responsehead checks the field names of HTTP responses. net/http accepts a
+// blank in a name: "Content-Length : 2" is then a field of another name, and the body
+// ends where the sender did not end it.
 package responsehead
 
 import (
@@ -12,8 +12,8 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// ErrFieldName means that the name of a field is not one of RFC 9110, section 5.1.
-var ErrFieldName = eris.New("invalid name of a field")
+// ErrFieldName means that a field name is not a token as in RFC 9110, section 5.1.
+var ErrFieldName = eris.New("invalid field name")
 
 // Check returns an ErrFieldName unless all names in the header of a response are valid. The trailer
 // comes after the body: reading the body returns the error in place of io.EOF if a name there is not.
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -139,7 +139,7 @@
 	}
 }
 
-// TestInvalidFieldNameIsNoResponse lets a backend send names of fields that are none.
+// TestInvalidFieldNameIsNoResponse lets a backend send invalid field names.
 func TestInvalidFieldNameIsNoResponse(t *testing.T) {
 	for _, response := range []string{
 		"HTTP/1.1 200 OK\r\nX Odd: a\r\nContent-Length: 2\r\n\r\nok",
--- a/test/faults/table_test.go
+++ b/test/faults/table_test.go
@@ -337,5 +337,5 @@
 | a few long bodies take all memory for bodies, and short responses fail | happened (internal/readlimit) | happened (internal/readlimit) |
 | a reset while the request is still being sent makes the part of a response without a length a complete one | happened for plain services (internal/service, early response; internal/network) | happened for plain responses and streams (test/gateway, early response; internal/replica, internal/network) |
 | an answer with a status that does not exist counts | happened for plain services, and for refusals of engines (internal/service, internal/engine) | happened for 600 and more (test/gateway, status) |
-| an answer with a blank in the name of a field counts, without the field or with another body | happened, for engines, plain services and the platform (internal/service, internal/engine, platform) | happened, in headers, interim and skipped responses and trailers (test/gateway, field names) |
+| an answer with a blank in a field name counts, without the field or with another body | happened, for engines, plain services and the platform (internal/service, internal/engine, platform) | happened, in headers, interim and skipped responses and trailers (test/gateway, field names) |
 `
--- a/test/gateway/fieldnames_test.go
+++ b/test/gateway/fieldnames_test.go
@@ -66,9 +66,9 @@
 // skipped is a response to another request.
 const skipped = "HTTP/1.1 200 OK\r\nX-Pimentohinge-Attempt-Id: other\r\n%s\r\nContent-Length: 0\r\n\r\n"
 
-// TestInvalidFieldNameIsNoResponse guards against MIXED: a replica in trouble sends a field whose name is none,
-// or a control byte in a value. Callers get 502 at once, whatever the rest of the response is, and a safe request goes to another
-// replica.
+// TestInvalidFieldNameIsNoResponse guards against MIXED: a replica in trouble sends an invalid field name,
+// or a control byte in a value. Callers get 502 at once, whatever the rest of the response is, and a safe
+// request goes to another replica.
 func TestInvalidFieldNameIsNoResponse(t *testing.T) {
 	invalid := map[string]rawResponse{
 		"no name":                       {field: ": a"},
