--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -354,6 +354,7 @@
 		{"garbage", "\x00garbage\r\n\r\n", replica.ErrMalformed},
 		{"cut", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort", replica.ErrTruncated},
 		{"cutChunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab", replica.ErrTruncated},
+		{"chunksOfHTTP10", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", replica.ErrMalformed},
 		{"endsWithConnection", "HTTP/1.1 200 OK\r\n\r\nwhole", nil},
 	} {
 		t.Run(c.name, func(t *testing.T) {
